--- /dev/null
+++ b/include/eelgrasslever/daemon/endpoint_gateway.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// Task that carries calls to endpoints over HTTP.
+#pragma once
+
+#include "eelgrasslever/daemon/messages.hpp"
+#include "eelgrasslever/http/client.hpp"
+#include "eelgrasslever/kernel/mailbox.hpp"
+
+namespace eelgrasslever::daemon {
+
+class endpoint_gateway {
+  public:
+    endpoint_gateway(kernel::loop& owner,
+                     kernel::mailbox<to_scheduler>& scheduler);
+    [[nodiscard]] kernel::mailbox<endpoint_call>& inbox() { return m_inbox; }
+    [[nodiscard]] const http::client& client() const { return m_client; }
+
+  private:
+    void send(const endpoint_call& message);
+    kernel::mailbox<to_scheduler>& m_scheduler;
+    http::client m_client;
+    kernel::mailbox<endpoint_call> m_inbox;
+};
+
+} // namespace eelgrasslever::daemon
--- /dev/null
+++ b/include/eelgrasslever/daemon/store_gateway.hpp
@@ -0,0 +1,32 @@
+/// @file
+/// Task that carries calls to the platform's key-value service over HTTP.
+#pragma once
+
+#include "eelgrasslever/daemon/messages.hpp"
+#include "eelgrasslever/http/client.hpp"
+#include "eelgrasslever/kernel/mailbox.hpp"
+
+namespace eelgrasslever::daemon {
+
+class store_gateway {
+  public:
+    store_gateway(kernel::loop& owner, std::string url,
+                  base::milliseconds timeout,
+                  kernel::mailbox<to_scheduler>& scheduler);
+    [[nodiscard]] kernel::mailbox<store::call>& inbox() { return m_inbox; }
+    [[nodiscard]] const http::client& client() const { return m_client; }
+    [[nodiscard]] std::uint64_t reads() const { return m_reads; }
+    [[nodiscard]] std::uint64_t writes() const { return m_writes; }
+
+  private:
+    void send(const store::call& call);
+    std::string m_url;
+    base::milliseconds m_timeout;
+    kernel::mailbox<to_scheduler>& m_scheduler;
+    http::client m_client;
+    kernel::mailbox<store::call> m_inbox;
+    std::uint64_t m_reads{0};
+    std::uint64_t m_writes{0};
+};
+
+} // namespace eelgrasslever::daemon
--- /dev/null
+++ b/include/eelgrasslever/dispatch/fleet.hpp
@@ -0,0 +1,95 @@
+/// @file
+/// All endpoints that an entry VM holds or wants, with the index of their room
+/// and the groups of tasks that wait for room to be freed.
+#pragma once
+
+#include "eelgrasslever/dispatch/session.hpp"
+#include "eelgrasslever/placement/planner.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrasslever::dispatch {
+
+/// Tasks of one work item, placed but not all sent.
+struct placed_group {
+    std::string request_id;
+    std::vector<std::string> tasks;
+    std::vector<std::string> endpoints; ///< one for each task
+};
+
+/// Amounts over all endpoints that are held.
+struct fleet_totals {
+    base::resources capacity;
+    base::resources committed;
+    base::resources largest; ///< component-wise, of one endpoint
+    std::size_t held{0};
+};
+
+class fleet {
+  public:
+    fleet(std::string holder, const timing& times, std::uint64_t seed);
+
+    /// Adds endpoints that are new in @p listed and marks the others unwanted.
+    void set_known(const std::set<std::string>& listed);
+    void set_desired(const std::string& endpoint, bool desired);
+    void set_leaving(const std::string& endpoint, bool leaving);
+    void release_all();
+    void set_weights(const bundle::placement_weights& weights);
+
+    /// Plans @p item; see `placement::planner::plan`.
+    [[nodiscard]] std::optional<std::vector<placement::assignment>>
+    plan(const admission::work_item& item);
+
+    /// Sets room aside for @p tasks at the planned endpoints, stops what has
+    /// to give way and starts all tasks together once they fit.
+    void commit(const std::string& request_id, std::vector<local_task> tasks,
+                const std::vector<placement::assignment>& assignments);
+
+    /// Asks for a stop wherever the task is.
+    void stop(const std::string& task);
+
+    void advance(base::instant now, std::vector<outgoing_call>& calls);
+    void on_reply(const std::string& endpoint, const endpoint::call& call,
+                  const endpoint::reply& reply, base::instant now);
+
+    /// @return the events since the last call.
+    [[nodiscard]] std::vector<event> take_events();
+
+    [[nodiscard]] const session* find(const std::string& endpoint) const;
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<session>>&
+    sessions() const {
+        return m_sessions;
+    }
+    /// @return the endpoint where @p task is, or an empty string.
+    [[nodiscard]] std::string endpoint_of(const std::string& task) const;
+    [[nodiscard]] fleet_totals totals() const;
+    /// @return whether the endpoint is held and in the index for placement.
+    [[nodiscard]] const placement::capacity_tree& index() const {
+        return m_tree;
+    }
+
+  private:
+    void refresh(session& at, base::instant now);
+    void choose_victims(session& at, admission::reclaim_level level);
+    void start_fitting_groups();
+    [[nodiscard]] bool group_fits(const placed_group& group) const;
+    void absorb(session& at, std::size_t first_event, base::instant now);
+    void learn(session& at, const event& ended, const local_task& task,
+               base::instant now);
+
+    std::string m_holder;
+    timing m_times;
+    placement::planner m_planner;
+    placement::capacity_tree m_tree;
+    std::map<std::string, std::unique_ptr<session>> m_sessions;
+    std::map<std::string, std::string> m_task_at; ///< task to endpoint
+    std::map<std::string, placed_group> m_waiting_groups;
+    std::vector<event> m_events;
+    failure_rate m_failures;
+};
+
+} // namespace eelgrasslever::dispatch
--- /dev/null
+++ b/include/eelgrasslever/http/server.hpp
@@ -0,0 +1,93 @@
+/// @file
+/// HTTP server on libmicrohttpd, run by the process's own loop.
+#pragma once
+
+#include "eelgrasslever/base/error.hpp"
+#include "eelgrasslever/http/message.hpp"
+#include "eelgrasslever/kernel/loop.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+struct MHD_Connection;
+
+namespace eelgrasslever::http {
+
+class server;
+
+/// One request and its one response. It is kept alive by whoever will respond,
+/// so a late response to a connection that has gone is harmless.
+class exchange : public std::enable_shared_from_this<exchange> {
+  public:
+    [[nodiscard]] const std::string& method() const { return m_method; }
+    [[nodiscard]] const std::string& path() const { return m_path; }
+    [[nodiscard]] const std::string& body() const { return m_body; }
+
+    /// @return the named request header; only before `respond`.
+    [[nodiscard]] std::optional<std::string>
+    header(const std::string& name) const;
+    /// @return the named query parameter; only before `respond`.
+    [[nodiscard]] std::optional<std::string>
+    query(const std::string& name) const;
+
+    /// Sends @p reply; a second call does nothing.
+    void respond(response reply);
+
+    /// @return whether the caller has gone.
+    [[nodiscard]] bool closed() const { return m_connection == nullptr; }
+
+  private:
+    friend class server;
+    server* m_server{nullptr};
+    MHD_Connection* m_connection{nullptr};
+    std::string m_method;
+    std::string m_path;
+    std::string m_body;
+    bool m_too_large{false};
+    bool m_dispatched{false};
+    bool m_suspended{false};
+    std::optional<response> m_response;
+};
+
+/// Byte counts over the server's life.
+struct server_totals {
+    std::uint64_t requests{0};
+    std::uint64_t bytes_in{0};
+    std::uint64_t bytes_out{0};
+};
+
+/// Accepts connections and hands each whole request to the handler.
+class server {
+  public:
+    using handler = std::function<void(std::shared_ptr<exchange>)>;
+    /// Largest request body that is accepted, in bytes.
+    static constexpr std::size_t max_body_bytes = 1024 * 1024;
+
+    /// @param address "IP:port" to listen on.
+    [[nodiscard]] static base::result<std::unique_ptr<server>>
+    listen(kernel::loop& owner, const std::string& address, handler on_request);
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// Stops accepting; requests under way are still answered.
+    void stop_accepting();
+    [[nodiscard]] const server_totals& totals() const { return m_totals; }
+
+  private:
+    struct native;
+    friend class exchange;
+    server(kernel::loop& owner, handler on_request);
+    void run_soon();
+    void run_now();
+
+    kernel::loop& m_owner;
+    handler m_on_request;
+    std::unique_ptr<native> m_native;
+    server_totals m_totals;
+};
+
+} // namespace eelgrasslever::http
--- /dev/null
+++ b/include/eelgrasslever/kernel/mailbox.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// Message passing between tasks. A task owns its sockets and state; others
+/// reach it only by posting a message to its mailbox.
+#pragma once
+
+#include "eelgrasslever/kernel/loop.hpp"
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+namespace eelgrasslever::kernel {
+
+/// A first-in first-out queue of messages that is drained on the loop.
+/// Posting never runs the receiver within the sender's call.
+template <typename Message>
+class mailbox {
+  public:
+    using handler = std::function<void(Message&&)>;
+
+    mailbox(loop& owner, handler on_message)
+        : m_state(std::make_shared<state>(owner, std::move(on_message))) {}
+
+    ~mailbox() { m_state->on_message = nullptr; }
+    mailbox(const mailbox&) = delete;
+    mailbox& operator=(const mailbox&) = delete;
+
+    /// Queues @p message; it is handled after the present callback.
+    void post(Message message) {
+        m_state->queue.push_back(std::move(message));
+        if (m_state->scheduled) {
+            return;
+        }
+        m_state->scheduled = true;
+        m_state->owner.defer([kept = m_state] { drain(*kept); });
+    }
+
+  private:
+    struct state {
+        state(loop& l, handler h) : owner(l), on_message(std::move(h)) {}
+        loop& owner;
+        handler on_message;
+        std::deque<Message> queue;
+        bool scheduled{false};
+    };
+
+    static void drain(state& self) {
+        self.scheduled = false;
+        std::deque<Message> batch;
+        batch.swap(self.queue);
+        for (Message& message : batch) {
+            if (!self.on_message) {
+                return;
+            }
+            self.on_message(std::move(message));
+        }
+    }
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace eelgrasslever::kernel
--- /dev/null
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -0,0 +1,112 @@
+/// @file
+/// The entry VMs as this one knows them: who is heard, who is silent, and who
+/// is proved unable to start anything.
+#pragma once
+
+#include "eelgrasslever/base/time.hpp"
+#include "eelgrasslever/membership/vm_list.hpp"
+#include "eelgrasslever/wire/message.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrasslever::membership {
+
+struct roster_times {
+    base::milliseconds suspect_after{1500}; ///< silence before a peer is silent
+    base::milliseconds departed_after{60000}; ///< off the list and silent: gone
+};
+
+/// One process of an entry VM. A restarted process is another member.
+struct member {
+    std::string id; ///< "VM@incarnation"
+    std::string name;
+    std::string failure_domain;
+    std::string http_address;
+    std::string peer_address;
+    base::instant last_heard{};
+    base::instant unlisted_since{};
+    bool listed{true};
+    bool draining{false};
+    bool left{false};
+    bool gone{false};
+    std::uint64_t last_sequence{0};
+    std::uint64_t bundle_version{0};
+    std::uint64_t list_version{0};
+    bool platform_reached{false};
+    std::int64_t free_slots{0};
+    base::resources largest;
+    std::int64_t capacity_slots{0};
+    std::set<std::string> holdings;
+    std::set<std::string> reported_gone;
+};
+
+/// @return the VM name of a member id.
+[[nodiscard]] std::string vm_name_of(const std::string& member_id);
+
+class roster {
+  public:
+    /// The roster starts with one silent member: whatever process ran under
+    /// this VM's name before, whose tasks may still be running.
+    roster(std::string self_id, std::string failure_domain,
+           const roster_times& times);
+
+    /// @return true where the member had been silent or was unknown.
+    bool on_heartbeat(const std::string& from, const wire::heartbeat& beat,
+                      base::instant now);
+    void on_holdings(const std::string& from, const wire::holdings& held);
+    void on_vm_list(const vm_list& list, base::instant now);
+
+    /// Looks for members of our FD that are silent and fenced at every
+    /// endpoint: each is held by us or by a member that is heard.
+    /// @param held_here says whether this process holds an endpoint.
+    /// @return ids newly proved gone.
+    std::vector<std::string>
+    prove_gone(const std::set<std::string>& endpoints,
+               const std::function<bool(const std::string&)>& held_here,
+               base::instant now);
+
+    [[nodiscard]] bool heard(const member& who, base::instant now) const;
+    [[nodiscard]] const member* find(const std::string& id) const;
+    [[nodiscard]] const std::map<std::string, member>& members() const {
+        return m_members;
+    }
+    /// @return members that may know or run a request: neither left nor gone.
+    [[nodiscard]] std::vector<const member*> possible_homes() const;
+    /// @return VM names of listed entry VMs that were never heard.
+    [[nodiscard]] std::vector<std::string> never_heard() const;
+    /// @return ids of the members of our FD, this one included, that may own
+    /// endpoints.
+    [[nodiscard]] std::vector<std::string>
+    owner_candidates(bool self_draining, base::instant now) const;
+    /// @return number of members of our FD not proved gone, this one included.
+    [[nodiscard]] int share_count() const;
+    /// @return this process's place among them, by id.
+    [[nodiscard]] int share_index() const;
+    [[nodiscard]] std::vector<std::string> gone_here() const;
+    [[nodiscard]] const std::string& self_id() const { return m_self; }
+    [[nodiscard]] const std::string& failure_domain() const { return m_fd; }
+    /// Lowers the noted room of a peer after work was handed to it.
+    void note_handed(const std::string& id, std::int64_t slots);
+    /// Forgets members that left or are gone after @p age of silence.
+    void forget_old(base::instant now, base::milliseconds age);
+    /// @return whether some possible home other than @p asker is silent.
+    [[nodiscard]] bool any_silent(const std::string& asker,
+                                  base::instant now) const;
+
+  private:
+    [[nodiscard]] bool off_list_for_long(const member& who,
+                                         base::instant now) const;
+    std::string m_self;
+    std::string m_fd;
+    roster_times m_times;
+    std::map<std::string, member> m_members;
+    std::set<std::string> m_listed_names;
+    std::set<std::string> m_heard_names;
+};
+
+} // namespace eelgrasslever::membership
--- /dev/null
+++ b/include/eelgrasslever/node/book.hpp
@@ -0,0 +1,96 @@
+/// @file
+/// The requests that this VM knows, by id.
+#pragma once
+
+#include "eelgrasslever/admission/request.hpp"
+#include "eelgrasslever/base/answer.hpp"
+#include "eelgrasslever/node/effects.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace eelgrasslever::node {
+
+enum class stage {
+    locating,  ///< asking the other members whether one of them has it
+    recording, ///< waiting for the journal
+    queued,
+    placed, ///< at endpoints, or room is being made there
+    remote, ///< another member runs it
+    job,    ///< coordinated here, its tasks are entries of their own
+    answered,
+};
+
+[[nodiscard]] const char* to_string(stage value);
+
+/// How the tasks of a placed entry have ended so far.
+struct task_tally {
+    int completed{0};
+    int failed{0};
+    int stopped{0};
+    int not_started{0};
+    int lost{0};
+};
+
+struct entry {
+    admission::request request;
+    bool has_request{false}; ///< false: adopted from an endpoint's inventory
+    bool lookup{false};      ///< only asked about here, never submitted
+    stage at{stage::queued};
+    base::instant received{};
+    base::instant deadline{};
+    base::instant placed_at{};
+    bool needs_locate{false}; ///< ask again before any start
+    bool forwarded_here{false};
+    bool recorded{false};  ///< the journal holds its intent
+    bool ever_sent{false}; ///< a start was sent to some endpoint
+    bool cancelled{false};
+    std::string parent_job;
+    std::set<caller_token> callers;
+    std::set<std::string> attached_members;
+    std::string home; ///< for `remote`: member id, empty where not yet known
+    base::instant next_check{};
+    /// Until then a task of it may run under a lease that a member which says
+    /// `unknown` has not yet heard of.
+    base::instant doubt_until{};
+    std::set<std::string> open_tasks;
+    task_tally tally;
+    std::string result_body;
+    std::string result_reason;
+    std::string ran_at;
+    std::int64_t charged_slots{0};
+    base::answer final_answer;
+    base::instant answered_at{};
+};
+
+using entry_ptr = std::shared_ptr<entry>;
+
+class book {
+  public:
+    [[nodiscard]] entry_ptr find(const std::string& id) const;
+    entry_ptr add(const std::string& id);
+    void erase(const std::string& id);
+    /// @return whether a task "@p id/N" without a request of its own is open;
+    /// such are the tasks of an all-at-once run that were adopted.
+    [[nodiscard]] bool has_open_tasks_under(const std::string& id) const;
+    /// Notes that an entry was answered, for `expire`.
+    void note_answered(const std::string& id, base::instant now);
+    /// Drops answered entries older than @p retention or beyond the limit.
+    void expire(base::instant now, base::milliseconds retention);
+    [[nodiscard]] const std::map<std::string, entry_ptr>& all() const {
+        return m_entries;
+    }
+
+  private:
+    struct answered {
+        std::string id;
+        base::instant at;
+    };
+    std::map<std::string, entry_ptr> m_entries;
+    std::deque<answered> m_answered;
+};
+
+} // namespace eelgrasslever::node
--- /dev/null
+++ b/include/eelgrasslever/node/intake.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// Takes requests in, attaches callers to them and gives each its one answer.
+#pragma once
+
+#include "eelgrasslever/node/context.hpp"
+
+namespace eelgrasslever::node {
+
+class intake {
+  public:
+    explicit intake(context& shared) : m_context(shared) {}
+
+    /// A caller's request. Every path ends in `effects::answer` or, for jobs,
+    /// `effects::accept`.
+    void submit(const admission::request& request, caller_token caller);
+
+    /// A request that another member handed over.
+    void submit_forwarded(const admission::request& request,
+                          const std::string& member);
+
+    /// A task of a job that this VM coordinates.
+    /// @param mark `retry` where another VM may have started it before.
+    void submit_job_task(const admission::request& request,
+                         const std::string& job_id, base::instant deadline);
+
+    /// Waits for the answer to a request without submitting it; the other
+    /// members are asked where this VM doesn't know the id.
+    void wait_for(const std::string& id, caller_token caller);
+
+    void cancel(const std::string& id);
+    void forget_caller(const std::string& id, caller_token caller);
+
+    /// Ends an entry: tells every caller, member and job that waits for it.
+    void settle(const entry_ptr& item, base::answer value);
+
+    /// Puts an entry into the queue, or settles it where it can't be in time.
+    void enqueue(const entry_ptr& item);
+
+    /// Called with what the other members said of a located entry.
+    void on_located(const entry_ptr& item, wire::verdict found,
+                    const std::string& home, bool local_doubt);
+
+    /// Settles waiting work that can't be answered in time any more, and looks
+    /// again at entries whose time has come.
+    void advance();
+    /// Looks at the entry again at @p when.
+    void wake_at(const std::string& id, base::instant when);
+
+    /// @return how long newly arrived work of @p rank waits.
+    [[nodiscard]] base::milliseconds expected_wait(int rank) const;
+
+  private:
+    [[nodiscard]] std::optional<base::answer>
+    refusal(const admission::request& request) const;
+    [[nodiscard]] std::optional<base::answer>
+    late_refusal(const admission::request& request, int rank) const;
+    [[nodiscard]] std::optional<std::string>
+    never_runnable(const admission::request& request) const;
+    bool attach(const admission::request& request, caller_token caller);
+    void begin(const entry_ptr& item);
+    void begin_recorded(const entry_ptr& item);
+    void settle_overdue(const entry_ptr& item);
+    void wake(const entry_ptr& item);
+    entry_ptr open_entry(const admission::request& request,
+                         base::instant deadline);
+
+    context& m_context;
+    std::set<std::pair<base::instant, std::string>> m_wakeups;
+};
+
+/// @return an answer of kind @p result with the reason @p detail.
+[[nodiscard]] base::answer
+make_answer(base::outcome result, std::string detail,
+            std::optional<base::milliseconds> retry_after = std::nullopt);
+
+} // namespace eelgrasslever::node
--- /dev/null
+++ b/include/eelgrasslever/node/locator.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// Asks the other members whether one of them knows a request.
+///
+/// A member that answers `unknown` remembers the question and will ask back
+/// before it starts that request itself. So of two members that ask about the
+/// same id at once, exactly one goes on: the one with the lower id.
+#pragma once
+
+#include "eelgrasslever/node/context.hpp"
+
+namespace eelgrasslever::node {
+
+class locator {
+  public:
+    explicit locator(context& shared) : m_context(shared) {}
+
+    /// Starts a round for @p item; `intake::on_located` gets the outcome.
+    void start(const entry_ptr& item);
+    /// Asks one member that should know the request.
+    void ask_home(const entry_ptr& item);
+
+    void on_locate(const std::string& from, const wire::locate& question);
+    void on_located(const std::string& from, const wire::located& reply);
+    void advance();
+
+    /// @return whether another member asked about @p id lately.
+    [[nodiscard]] bool asked_by_other(const std::string& id) const;
+
+  private:
+    struct round {
+        std::uint64_t query{0};
+        std::set<std::string> waiting;
+        bool undecided{false};
+        bool local_doubt{false}; ///< the doubt is about our own FD
+        base::instant give_up{};
+    };
+    void finish(const std::string& id, wire::verdict found,
+                const std::string& home);
+    void finish_if_complete(const std::string& id);
+
+    context& m_context;
+    std::uint64_t m_next_query{1};
+    std::map<std::string, round> m_rounds;
+    std::map<std::string, base::instant> m_asked;
+};
+
+} // namespace eelgrasslever::node
--- /dev/null
+++ b/include/eelgrasslever/node/node.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// The decisions of one entry VM as a state machine without I/O or clock.
+///
+/// Events come in through the members below, each with the present instant;
+/// actions go out through `effects`. The daemon connects both to sockets, the
+/// randomised tests to fakes.
+#pragma once
+
+#include "eelgrasslever/node/configurator.hpp"
+#include "eelgrasslever/node/context.hpp"
+#include "eelgrasslever/node/intake.hpp"
+#include "eelgrasslever/node/jobs.hpp"
+#include "eelgrasslever/node/locator.hpp"
+#include "eelgrasslever/node/peering.hpp"
+#include "eelgrasslever/node/recorder.hpp"
+#include "eelgrasslever/node/runner.hpp"
+
+namespace eelgrasslever::node {
+
+class node {
+  public:
+    node(const node_config& config, effects& out);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    void submit(const admission::request& request, caller_token caller,
+                base::instant now);
+    void wait_for(const std::string& id, caller_token caller,
+                  base::instant now);
+    void cancel(const std::string& id, base::instant now);
+    void forget_caller(const std::string& id, caller_token caller,
+                       base::instant now);
+    /// Tells the other members that this VM holds nothing and exits.
+    void say_left() { m_peering.say_left(); }
+    void roll_out(const std::string& envelope_text,
+                  std::function<void(base::result<void>)> done,
+                  base::instant now);
+
+    void on_endpoint_reply(const std::string& endpoint,
+                           const endpoint::call& call,
+                           const endpoint::reply& reply, base::instant now);
+    void on_store_reply(const store::call& call, const store::reply& reply,
+                        base::instant now);
+    void on_peer_message(const std::string& from, const wire::message& message,
+                         base::instant now);
+
+    /// Does what is due; call it at least every few tens of milliseconds.
+    void tick(base::instant now);
+
+    /// Begins a planned stop.
+    void drain(base::instant now);
+    /// @return whether nothing is left to do before the process exits.
+    [[nodiscard]] bool drained() const;
+    /// @return whether callers should be sent here.
+    [[nodiscard]] bool ready() const;
+
+    [[nodiscard]] const context& state() const { return m_context; }
+    [[nodiscard]] wire::heartbeat make_heartbeat(const std::string& member) {
+        return m_peering.make_heartbeat(member);
+    }
+    /// @return where a request is and why it waits, for people.
+    [[nodiscard]] std::string explain(const std::string& id) const;
+
+  private:
+    void settle_step();
+    void notice_pause(base::instant now);
+
+    context m_context;
+    intake m_intake;
+    runner m_runner;
+    locator m_locator;
+    recorder m_recorder;
+    jobs m_jobs;
+    peering m_peering;
+    configurator m_configurator;
+};
+
+} // namespace eelgrasslever::node
--- /dev/null
+++ b/include/eelgrasslever/node/recorder.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// The journal of intents and jobs, in shards of the platform's store.
+#pragma once
+
+#include "eelgrasslever/journal/shard.hpp"
+#include "eelgrasslever/node/context.hpp"
+
+#include <functional>
+
+namespace eelgrasslever::node {
+
+class recorder {
+  public:
+    explicit recorder(context& shared);
+
+    /// Records that this VM is the home of @p item before anything is sent.
+    void record_intent(const entry_ptr& item);
+    /// Records the final answer; tried again until the store took it.
+    void record_answer(const std::string& id, const base::answer& value);
+    /// Gives up the home of an intent that was never sent.
+    void release_intent(const std::string& id);
+    void submit(journal::operation op);
+    /// Reads every shard afresh.
+    void scan(std::function<void(const journal::entries&)> on_shard);
+
+    void on_reply(const store::call& call, const store::reply& reply);
+    void advance();
+
+    [[nodiscard]] bool owns_key(const std::string& key) const;
+    [[nodiscard]] bool idle() const;
+
+  private:
+    void on_intent(const entry_ptr& item, journal::commit_result result,
+                   const journal::entry* present);
+    void on_known_intent(const entry_ptr& item, const journal::entry& present);
+    void pump(journal::shard& shard);
+    [[nodiscard]] journal::entry make_entry(const entry_ptr& item) const;
+
+    context& m_context;
+    std::vector<std::unique_ptr<journal::shard>> m_shards;
+    std::map<std::string, std::size_t> m_by_key;
+    std::map<std::string, base::answer> m_unsaved; ///< answers to write again
+    std::set<std::string> m_never_sent; ///< intents given up before any start
+    base::instant m_next_save{};
+};
+
+} // namespace eelgrasslever::node
--- /dev/null
+++ b/include/eelgrasslever/observe/metrics.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// Counters, gauges and distributions, shown in the Prometheus text format.
+#pragma once
+
+#include <sstream> // the quantile header below uses it without including it
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace eelgrasslever::observe {
+
+/// A distribution summed up by its quantiles.
+class distribution {
+  public:
+    distribution();
+    void observe(double value);
+    [[nodiscard]] double quantile(double probability) const;
+    [[nodiscard]] std::size_t count() const;
+    [[nodiscard]] double sum() const;
+    [[nodiscard]] static const std::vector<double>& probabilities();
+
+  private:
+    using accumulator = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<
+            boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::extended_p_square_quantile>>;
+    accumulator m_values;
+};
+
+/// All metrics of a process. Names carry their labels, such as
+/// `answers_total{outcome="completed"}`.
+class metrics {
+  public:
+    void add(const std::string& counter, double amount = 1.0);
+    void set(const std::string& gauge, double value);
+    void observe(const std::string& name, const std::string& label,
+                 double value);
+
+    /// @return the page of all metrics.
+    [[nodiscard]] std::string to_prometheus() const;
+
+  private:
+    struct series {
+        std::string name;
+        std::string label;
+        auto operator<=>(const series&) const = default;
+    };
+    std::map<std::string, double> m_counters;
+    std::map<std::string, double> m_gauges;
+    std::map<series, distribution> m_distributions;
+};
+
+/// What the scheduler itself consumes.
+struct process_usage {
+    double cpu_seconds{0.0};
+    double resident_bytes{0.0};
+};
+[[nodiscard]] process_usage read_process_usage();
+
+} // namespace eelgrasslever::observe
--- /dev/null
+++ b/include/eelgrasslever/wire/message.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// Messages between entry VMs.
+#pragma once
+
+#include "eelgrasslever/base/answer.hpp"
+#include "eelgrasslever/base/resources.hpp"
+#include "eelgrasslever/base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace eelgrasslever::wire {
+
+/// Sent to each peer at a fixed period.
+struct heartbeat {
+    std::string failure_domain;
+    std::string http_address;
+    std::string peer_address;
+    std::uint64_t sequence{0};
+    std::uint64_t echo{0}; ///< last sequence heard from the receiver
+    bool draining{false};
+    bool left{false}; ///< holds nothing any more and is about to exit
+    std::uint64_t bundle_version{0};
+    std::uint64_t list_version{0};
+    bool platform_reached{false}; ///< the store answered lately
+    std::int64_t free_slots{0};
+    base::resources largest;        ///< of one endpoint that the sender holds
+    std::int64_t capacity_slots{0}; ///< of all endpoints that it holds
+    std::vector<std::string> gone;  ///< members of this FD proved fenced
+};
+
+/// The endpoints whose claims the sender holds.
+struct holdings {
+    std::uint64_t revision{0};
+    std::vector<std::string> endpoints;
+};
+
+enum class document_kind : std::uint8_t { bundle, vm_list };
+
+/// A newer bundle or VM list than the receiver has.
+struct document {
+    document_kind kind{document_kind::bundle};
+    std::uint64_t version{0};
+    std::string text;
+};
+
+/// Asks whether the receiver knows a request. One that answers `unknown`
+/// will ask the sender before it ever starts that request itself.
+struct locate {
+    std::uint64_t query{0};
+    std::string request_id;
+    bool attach{false};   ///< send `settled` when the request has ended
+    bool cell_wide{true}; ///< false: a question to this one member alone
+};
+
+enum class verdict : std::uint8_t {
+    mine,      ///< the sender knows it and will send `settled` if asked to
+    unknown,   ///< the sender does not know it
+    undecided, ///< another member, which the sender can't hear, may know it
+};
+
+struct located {
+    std::uint64_t query{0};
+    std::string request_id;
+    verdict found{verdict::unknown};
+};
+
+/// The end of a request that the receiver attached to.
+struct settled {
+    std::string request_id;
+    bool stopped{false}; ///< it was stopped before its end; it may run again
+    base::answer answer;
+};
+
+/// Hands a request to the receiver, who becomes the one to run it.
+struct forward {
+    std::string request_id;
+    std::string request_text;
+    base::milliseconds remaining{0}; ///< until the deadline
+};
+
+/// Takes a request back.
+struct cancel {
+    std::string request_id;
+};
+
+using message = std::variant<heartbeat, holdings, document, locate, located,
+                             settled, forward, cancel>;
+
+/// A message with its sender, "VM@incarnation".
+struct envelope {
+    std::string from;
+    message content;
+};
+
+} // namespace eelgrasslever::wire
--- /dev/null
+++ b/src/admission/request.cpp
@@ -0,0 +1,214 @@
+#include "eelgrasslever/admission/request.hpp"
+
+#include "eelgrasslever/admission/policy.hpp"
+#include "eelgrasslever/base/json.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace eelgrasslever::admission {
+
+namespace {
+
+tl::unexpected<base::error> bad(const std::string& detail) {
+    return base::fail(base::error_code::invalid_argument, "request.parse",
+                      "caller", detail);
+}
+
+bool valid_id(const std::string& id) {
+    auto allowed = [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' ||
+               c == ':';
+    };
+    return !id.empty() && id.size() <= max_id_length &&
+           std::all_of(id.begin(), id.end(), allowed);
+}
+
+// '/' separates a job's id from its task's index; callers can't use it.
+bool valid_internal_id(const std::string& id) {
+    auto slash = id.rfind('/');
+    return valid_id(slash == std::string::npos ? id : id.substr(0, slash));
+}
+
+base::result<std::int64_t> read_number(const nlohmann::json& in,
+                                       const char* name, std::int64_t fallback,
+                                       std::int64_t low, std::int64_t high) {
+    if (!in.contains(name)) {
+        return fallback;
+    }
+    bool whole = in[name].is_number_integer();
+    std::int64_t value = whole ? in[name].get<std::int64_t>() : 0;
+    if (!whole || value < low || value > high) {
+        return bad(std::string(name) + " must be a whole number from " +
+                   std::to_string(low) + " to " + std::to_string(high));
+    }
+    return value;
+}
+
+base::result<std::string> read_text(const nlohmann::json& in, const char* name,
+                                    const std::string& fallback) {
+    if (!in.contains(name)) {
+        return fallback;
+    }
+    if (!in[name].is_string()) {
+        return bad(std::string(name) + " must be text");
+    }
+    return in[name].get<std::string>();
+}
+
+base::result<void> read_numbers(const nlohmann::json& in, request& out) {
+    struct number_field {
+        const char* name;
+        std::int64_t fallback;
+        std::int64_t low;
+        std::int64_t high;
+        std::int64_t value;
+    };
+    constexpr std::int64_t amount_limit = 1'000'000'000;
+    number_field fields[] = {
+        {"slots", 1, 1, amount_limit, 0},
+        {"cpu_milli", 0, 0, amount_limit, 0},
+        {"memory_mb", 0, 0, amount_limit, 0},
+        {"accelerators", 0, 0, amount_limit, 0},
+        {"run_ms", 0, 0, max_timeout.count(), 0},
+        {"timeout_ms", default_timeout.count(), 1, max_timeout.count(), 0},
+        {"tasks", 1, 1, max_tasks_per_job, 0}};
+    for (number_field& item : fields) {
+        auto value =
+            read_number(in, item.name, item.fallback, item.low, item.high);
+        if (!value) {
+            return tl::unexpected(value.error());
+        }
+        item.value = *value;
+    }
+    out.need = {fields[0].value, fields[1].value, fields[2].value,
+                fields[3].value};
+    out.declared_run = base::milliseconds(fields[4].value);
+    out.timeout = base::milliseconds(fields[5].value);
+    out.tasks = static_cast<int>(fields[6].value);
+    return {};
+}
+
+base::result<void> read_texts(const nlohmann::json& in, request& out) {
+    struct text_field {
+        const char* name;
+        std::string request::*member;
+    };
+    const text_field fields[] = {{"team", &request::team},
+                                 {"kind", &request::kind},
+                                 {"payload", &request::payload},
+                                 {"traceparent", &request::traceparent}};
+    for (const text_field& item : fields) {
+        auto value = read_text(in, item.name, out.*item.member);
+        if (!value) {
+            return tl::unexpected(value.error());
+        }
+        out.*item.member = *value;
+    }
+    return {};
+}
+
+base::result<attempt_mark> read_attempt(const nlohmann::json& in) {
+    auto number = read_number(in, "attempt", 0, 1, 1000);
+    if (!number) {
+        return tl::unexpected(number.error());
+    }
+    if (*number == 0) {
+        return attempt_mark::unmarked;
+    }
+    return *number == 1 ? attempt_mark::first : attempt_mark::retry;
+}
+
+std::string known_kinds() {
+    std::string out;
+    for (const std::string& name :
+         kernel::registry<policy>::instance().names()) {
+        out += out.empty() ? name : ", " + name;
+    }
+    return out;
+}
+
+base::result<void> check_kind(const request& value) {
+    const policy* plugin = find_policy(value.kind);
+    if (plugin == nullptr) {
+        return bad("kind \"" + value.kind + "\" is not known; use one of " +
+                   known_kinds());
+    }
+    if (value.tasks > 1 && !plugin->durable()) {
+        return bad("tasks must be 1 for kind \"" + value.kind +
+                   "\"; use kind batch or gang for more");
+    }
+    return {};
+}
+
+} // namespace
+
+base::result<request> parse_request(const nlohmann::json& body,
+                                    const std::string& id) {
+    if (!valid_internal_id(id)) {
+        return bad("Idempotency-Key must be 1 to 128 letters, digits or "
+                   "-_.: characters");
+    }
+    request out;
+    out.id = id;
+    auto numbers = read_numbers(body, out);
+    if (!numbers) {
+        return tl::unexpected(numbers.error());
+    }
+    auto texts = read_texts(body, out);
+    if (!texts) {
+        return tl::unexpected(texts.error());
+    }
+    auto attempt = read_attempt(body);
+    if (!attempt) {
+        return tl::unexpected(attempt.error());
+    }
+    out.attempt = *attempt;
+    if (out.team.empty()) {
+        return bad("team is missing; name a team of the bundle in force");
+    }
+    if (body.contains("repeatable")) {
+        if (!body["repeatable"].is_boolean()) {
+            return bad("repeatable must be true or false");
+        }
+        out.repeatable = body["repeatable"].get<bool>();
+    }
+    auto kind = check_kind(out);
+    if (!kind) {
+        return tl::unexpected(kind.error());
+    }
+    return out;
+}
+
+nlohmann::json to_json_object(const request& value) {
+    nlohmann::json out = {{"team", value.team},
+                          {"kind", value.kind},
+                          {"slots", value.need.slots},
+                          {"timeout_ms", value.timeout.count()}};
+    auto put = [&out](const char* name, std::int64_t number,
+                      std::int64_t fallback) {
+        if (number != fallback) {
+            out[name] = number;
+        }
+    };
+    put("cpu_milli", value.need.cpu_milli, 0);
+    put("memory_mb", value.need.memory_mb, 0);
+    put("accelerators", value.need.accelerators, 0);
+    put("run_ms", value.declared_run.count(), 0);
+    put("tasks", value.tasks, 1);
+    if (value.attempt != attempt_mark::unmarked) {
+        out["attempt"] = value.attempt == attempt_mark::first ? 1 : 2;
+    }
+    if (!value.repeatable) {
+        out["repeatable"] = false;
+    }
+    if (!value.payload.empty()) {
+        out["payload"] = value.payload;
+    }
+    if (!value.traceparent.empty()) {
+        out["traceparent"] = value.traceparent;
+    }
+    return out;
+}
+
+} // namespace eelgrasslever::admission
--- /dev/null
+++ b/src/base/resources.cpp
@@ -0,0 +1,60 @@
+#include "eelgrasslever/base/resources.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace eelgrasslever::base {
+
+resources& resources::operator+=(const resources& other) {
+    slots += other.slots;
+    cpu_milli += other.cpu_milli;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+resources& resources::operator-=(const resources& other) {
+    slots -= other.slots;
+    cpu_milli -= other.cpu_milli;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool fits(const resources& need, const resources& room) {
+    return need.slots <= room.slots && need.cpu_milli <= room.cpu_milli &&
+           need.memory_mb <= room.memory_mb &&
+           need.accelerators <= room.accelerators;
+}
+
+resources component_max(const resources& a, const resources& b) {
+    return {std::max(a.slots, b.slots), std::max(a.cpu_milli, b.cpu_milli),
+            std::max(a.memory_mb, b.memory_mb),
+            std::max(a.accelerators, b.accelerators)};
+}
+
+resources times(const resources& amount, std::int64_t count) {
+    return {amount.slots * count, amount.cpu_milli * count,
+            amount.memory_mb * count, amount.accelerators * count};
+}
+
+bool any_negative(const resources& amount) {
+    return amount.slots < 0 || amount.cpu_milli < 0 || amount.memory_mb < 0 ||
+           amount.accelerators < 0;
+}
+
+void to_json(nlohmann::json& out, const resources& in) {
+    out = {{"slots", in.slots},
+           {"cpu_milli", in.cpu_milli},
+           {"memory_mb", in.memory_mb},
+           {"accelerators", in.accelerators}};
+}
+
+void from_json(const nlohmann::json& in, resources& out) {
+    out.slots = in.value("slots", std::int64_t{1});
+    out.cpu_milli = in.value("cpu_milli", std::int64_t{0});
+    out.memory_mb = in.value("memory_mb", std::int64_t{0});
+    out.accelerators = in.value("accelerators", std::int64_t{0});
+}
+
+} // namespace eelgrasslever::base
--- /dev/null
+++ b/src/daemon/peer_links.cpp
@@ -0,0 +1,303 @@
+#include "eelgrasslever/daemon/peer_links.hpp"
+
+#include "eelgrasslever/observe/log.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace eelgrasslever::daemon {
+
+namespace {
+
+constexpr std::size_t queue_limit_bytes = 8 * 1024 * 1024;
+constexpr std::size_t read_chunk_bytes = 64 * 1024;
+constexpr unsigned unacknowledged_limit_ms = 2000;
+constexpr base::milliseconds connect_limit{1000};
+constexpr int listen_backlog = 128;
+
+bool parse_address(const std::string& address, sockaddr_in& out) {
+    auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    out.sin_family = AF_INET;
+    out.sin_port = htons(
+        static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
+    return inet_pton(AF_INET, address.substr(0, colon).c_str(),
+                     &out.sin_addr) == 1;
+}
+
+int open_socket() {
+    int descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // A connection that something in between has forgotten is given up.
+    unsigned limit = unacknowledged_limit_ms;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+    return descriptor;
+}
+
+} // namespace
+
+/// Sends frames to one peer; connects when there is something to send.
+class outbound_link : public std::enable_shared_from_this<outbound_link> {
+  public:
+    outbound_link(peer_links& owner, std::string address)
+        : m_links(owner), m_address(std::move(address)),
+          m_limit(owner.m_owner, [this] { close_connection(); }) {}
+    ~outbound_link() { close_connection(); }
+
+    void send(const std::string& frame) {
+        if (m_queue.size() + frame.size() > queue_limit_bytes) {
+            return;
+        }
+        m_queue += frame;
+        if (m_descriptor < 0) {
+            connect_now();
+        } else if (m_connected) {
+            flush();
+        }
+    }
+
+    void close_connection() {
+        m_limit.cancel();
+        m_watch.reset();
+        if (m_descriptor >= 0) {
+            close(m_descriptor);
+        }
+        m_descriptor = -1;
+        m_connected = false;
+        m_queue.clear();
+    }
+
+  private:
+    void connect_now() {
+        sockaddr_in to{};
+        if (!parse_address(m_address, to)) {
+            m_queue.clear();
+            return;
+        }
+        m_descriptor = open_socket();
+        int code =
+            connect(m_descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to);
+        if (code != 0 && errno != EINPROGRESS) {
+            close_connection();
+            return;
+        }
+        m_limit.start_once(connect_limit);
+        auto self = shared_from_this();
+        m_watch = std::make_unique<kernel::descriptor_watch>(
+            m_links.m_owner, m_descriptor, EV_WRITE,
+            [weak = std::weak_ptr<outbound_link>(self)](int events) {
+                if (auto kept = weak.lock()) {
+                    kept->on_ready(events);
+                }
+            });
+    }
+
+    void on_ready(int events) {
+        if (!m_connected) {
+            int problem = 0;
+            socklen_t size = sizeof problem;
+            getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &problem, &size);
+            if (problem != 0) {
+                close_later();
+                return;
+            }
+            m_connected = true;
+            m_limit.cancel();
+        }
+        if ((events & EV_READ) != 0 && peer_has_closed()) {
+            close_later();
+            return;
+        }
+        flush();
+    }
+
+    // The peer never sends here, so readable means closed.
+    [[nodiscard]] bool peer_has_closed() const {
+        std::array<char, 16> buffer{};
+        ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        return count == 0 ||
+               (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    void flush() {
+        while (!m_queue.empty()) {
+            ssize_t sent = ::send(m_descriptor, m_queue.data(), m_queue.size(),
+                                  MSG_NOSIGNAL);
+            if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                break;
+            }
+            if (sent < 0) {
+                close_later();
+                return;
+            }
+            m_links.m_totals.bytes_sent += static_cast<std::uint64_t>(sent);
+            m_queue.erase(0, static_cast<std::size_t>(sent));
+        }
+        int write = m_queue.empty() ? 0 : EV_WRITE;
+        m_watch->set_events(EV_READ | write);
+    }
+
+    // The watch must outlive its own callback.
+    void close_later() {
+        m_watch->set_events(0);
+        m_links.m_owner.defer(
+            [kept = shared_from_this()] { kept->close_connection(); });
+    }
+
+    peer_links& m_links;
+    std::string m_address;
+    kernel::timer m_limit;
+    int m_descriptor{-1};
+    bool m_connected{false};
+    std::string m_queue;
+    std::unique_ptr<kernel::descriptor_watch> m_watch;
+};
+
+/// Reads the frames of one peer that connected to us.
+class inbound_session : public std::enable_shared_from_this<inbound_session> {
+  public:
+    inbound_session(peer_links& owner, int descriptor)
+        : m_links(owner), m_descriptor(descriptor) {}
+    ~inbound_session() { close(m_descriptor); }
+
+    void start() {
+        m_watch = std::make_unique<kernel::descriptor_watch>(
+            m_links.m_owner, m_descriptor, EV_READ,
+            [weak = weak_from_this()](int) {
+                if (auto kept = weak.lock()) {
+                    kept->read_all();
+                }
+            });
+    }
+
+  private:
+    void read_all() {
+        std::array<char, read_chunk_bytes> buffer{};
+        ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            return;
+        }
+        if (count <= 0) {
+            end();
+            return;
+        }
+        m_links.m_totals.bytes_received += static_cast<std::uint64_t>(count);
+        m_reader.append(buffer.data(), static_cast<std::size_t>(count));
+        for (;;) {
+            auto next = m_reader.next();
+            if (!next) {
+                refuse(next.error());
+                return;
+            }
+            if (!next->has_value()) {
+                return;
+            }
+            auto decoded = wire::decode(**next);
+            if (!decoded) {
+                refuse(decoded.error());
+                return;
+            }
+            m_links.m_scheduler.post(
+                peer_spoke{decoded->from, std::move(decoded->content)});
+        }
+    }
+
+    void refuse(const base::error& why) {
+        m_links.m_totals.invalid_frames++;
+        observe::log_error("peer_frame_refused", {{"why", why.message()}});
+        end();
+    }
+
+    void end() {
+        m_watch->set_events(0);
+        auto kept = shared_from_this();
+        m_links.m_inbound.erase(kept);
+        m_links.m_owner.defer([kept] {});
+    }
+
+    peer_links& m_links;
+    int m_descriptor;
+    wire::frame_reader m_reader;
+    std::unique_ptr<kernel::descriptor_watch> m_watch;
+};
+
+peer_links::peer_links(kernel::loop& owner,
+                       kernel::mailbox<to_scheduler>& scheduler)
+    : m_owner(owner), m_scheduler(scheduler),
+      m_inbox(owner,
+              [this](to_links&& message) { on_message(std::move(message)); }) {}
+
+base::result<std::unique_ptr<peer_links>>
+peer_links::listen(kernel::loop& owner, const std::string& address,
+                   kernel::mailbox<to_scheduler>& scheduler) {
+    std::unique_ptr<peer_links> self(new peer_links(owner, scheduler));
+    sockaddr_in at{};
+    auto failed = [&](const std::string& why) {
+        return base::fail(base::error_code::io, "peer.listen", address, why);
+    };
+    if (!parse_address(address, at)) {
+        return failed("not an address; write IP:port");
+    }
+    self->m_listener = open_socket();
+    int on = 1;
+    setsockopt(self->m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    bool bound = bind(self->m_listener, reinterpret_cast<sockaddr*>(&at),
+                      sizeof at) == 0;
+    if (!bound || ::listen(self->m_listener, listen_backlog) != 0) {
+        return failed(std::strerror(errno));
+    }
+    peer_links* raw = self.get();
+    self->m_watch = std::make_unique<kernel::descriptor_watch>(
+        owner, self->m_listener, EV_READ, [raw](int) { raw->accept_all(); });
+    return self;
+}
+
+peer_links::~peer_links() {
+    m_watch.reset();
+    if (m_listener >= 0) {
+        close(m_listener);
+    }
+}
+
+void peer_links::accept_all() {
+    for (;;) {
+        int descriptor =
+            accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        auto session = std::make_shared<inbound_session>(*this, descriptor);
+        session->start();
+        m_inbound.insert(std::move(session));
+    }
+}
+
+void peer_links::on_message(to_links&& message) {
+    if (const auto* reset = std::get_if<peer_reset>(&message)) {
+        auto found = m_outbound.find(reset->address);
+        if (found != m_outbound.end()) {
+            found->second->close_connection();
+        }
+        return;
+    }
+    const auto& send = std::get<peer_send>(message);
+    auto& link = m_outbound[send.address];
+    if (!link) {
+        link = std::make_shared<outbound_link>(*this, send.address);
+    }
+    link->send(send.frame);
+}
+
+} // namespace eelgrasslever::daemon
--- /dev/null
+++ b/src/daemon/responses.cpp
@@ -0,0 +1,146 @@
+#include "eelgrasslever/daemon/responses.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrasslever::daemon {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+constexpr int status_bad_request = 400;
+constexpr int status_forbidden = 403;
+constexpr int status_conflict = 409;
+constexpr int status_unprocessable = 422;
+constexpr int status_failed = 500;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+constexpr std::int64_t milliseconds_per_second = 1000;
+
+int status_of(const base::answer& value) {
+    if (value.rejected) {
+        return status_unprocessable;
+    }
+    switch (value.result) {
+    case base::outcome::completed:
+        return status_ok;
+    case base::outcome::failed:
+        return status_failed;
+    case base::outcome::not_run:
+        return status_unavailable;
+    case base::outcome::unknown:
+        return status_timeout;
+    }
+    return status_timeout;
+}
+
+const char* title_of(const base::answer& value) {
+    if (value.rejected) {
+        return "the request can't be served as it is";
+    }
+    switch (value.result) {
+    case base::outcome::completed:
+        return "the request ran and completed";
+    case base::outcome::failed:
+        return "the request ran and did not complete";
+    case base::outcome::not_run:
+        return "the request was not run";
+    case base::outcome::unknown:
+        return "the request may have run";
+    }
+    return "";
+}
+
+void add_retry_after(http::response& out, base::milliseconds wait) {
+    std::int64_t seconds =
+        (wait.count() + milliseconds_per_second - 1) / milliseconds_per_second;
+    out.headers.push_back({"Retry-After", std::to_string(seconds)});
+}
+
+} // namespace
+
+http::response json_response(std::string body) {
+    http::response out;
+    out.body = std::move(body);
+    out.body += '\n';
+    return out;
+}
+
+http::response answer_response(const std::string& id,
+                               const base::answer& value) {
+    http::response out;
+    out.status = status_of(value);
+    nlohmann::json body = value;
+    body["id"] = id;
+    if (value.result != base::outcome::completed) {
+        out.content_type = "application/problem+json";
+        body["title"] = title_of(value);
+        body["status"] = out.status;
+    }
+    if (value.retry_after) {
+        add_retry_after(out, *value.retry_after);
+    }
+    out.body = body.dump() + "\n";
+    return out;
+}
+
+http::response status_response(const std::string& id,
+                               const base::answer& value) {
+    constexpr int status_not_found = 404;
+    if (value.rejected && value.detail == "no such request is known") {
+        return problem_response(status_not_found, "no such request",
+                                "no entry VM that answers knows it");
+    }
+    nlohmann::json body = value;
+    body["id"] = id;
+    body["state"] = "answered";
+    http::response out = json_response(body.dump());
+    if (value.retry_after) {
+        add_retry_after(out, *value.retry_after);
+    }
+    return out;
+}
+
+http::response accepted_response(const std::string& id) {
+    http::response out;
+    out.status = status_accepted;
+    out.headers.push_back({"Location", "/v1/requests/" + id});
+    out.body = nlohmann::json{{"id", id}, {"state", "accepted"}}.dump() + "\n";
+    return out;
+}
+
+http::response problem_response(int status, const std::string& title,
+                                const std::string& detail) {
+    http::response out;
+    out.status = status;
+    out.content_type = "application/problem+json";
+    out.body =
+        nlohmann::json{{"title", title}, {"status", status}, {"detail", detail}}
+            .dump() +
+        "\n";
+    return out;
+}
+
+http::response error_response(const base::error& problem) {
+    int status = status_failed;
+    switch (problem.code) {
+    case base::error_code::invalid_argument:
+        status = status_bad_request;
+        break;
+    case base::error_code::not_permitted:
+        status = status_forbidden;
+        break;
+    case base::error_code::conflict:
+        status = status_conflict;
+        break;
+    case base::error_code::unreachable:
+    case base::error_code::refused:
+        status = status_unavailable;
+        break;
+    case base::error_code::io:
+        break;
+    }
+    return problem_response(status, problem.step + " failed", problem.detail);
+}
+
+} // namespace eelgrasslever::daemon
--- /dev/null
+++ b/src/daemon/store_gateway.cpp
@@ -0,0 +1,86 @@
+#include "eelgrasslever/daemon/store_gateway.hpp"
+
+#include "eelgrasslever/base/json.hpp"
+
+#include <utility>
+
+namespace eelgrasslever::daemon {
+
+namespace {
+
+// Reads of one key are repeated, so idle watches must not hold them up: each
+// is a call of its own on a pooled connection.
+http::call make_http_call(const std::string& url, const store::call& call,
+                          base::milliseconds timeout) {
+    http::call out;
+    out.timeout = timeout + call.wait;
+    std::string watch = "?known=" + std::to_string(call.known_version) +
+                        "&wait_ms=" + std::to_string(call.wait.count());
+    switch (call.kind) {
+    case store::call_kind::read:
+        out.url = url + "/v1/kv/" + call.key + watch;
+        break;
+    case store::call_kind::vm_list:
+        out.url = url + "/v1/vms" + watch;
+        break;
+    case store::call_kind::write:
+        out.method = "PUT";
+        out.url = url + "/v1/kv/" + call.key;
+        out.body = nlohmann::json{{"expected", call.expected_version},
+                                  {"value", call.value}}
+                       .dump();
+        break;
+    }
+    return out;
+}
+
+store::reply read_reply(const store::call& call, const http::reply& in) {
+    constexpr int conflict = 409;
+    constexpr int too_many = 429;
+    store::reply out;
+    if (!in.reached ||
+        (in.status != 200 && in.status != conflict && in.status != too_many)) {
+        return out;
+    }
+    if (in.status == too_many) {
+        out.result = store::status::refused;
+        return out;
+    }
+    out.result =
+        in.status == conflict ? store::status::conflict : store::status::ok;
+    if (call.kind == store::call_kind::vm_list) {
+        out.value = in.body;
+        return out;
+    }
+    auto parsed = base::parse_object(in.body, "store.reply", call.key);
+    if (!parsed) {
+        return {};
+    }
+    out.version = parsed->value("version", std::uint64_t{0});
+    out.value = parsed->value("value", "");
+    return out;
+}
+
+} // namespace
+
+store_gateway::store_gateway(kernel::loop& owner, std::string url,
+                             base::milliseconds timeout,
+                             kernel::mailbox<to_scheduler>& scheduler)
+    : m_url(std::move(url)), m_timeout(timeout), m_scheduler(scheduler),
+      m_client(owner),
+      m_inbox(owner, [this](store::call&& call) { send(call); }) {}
+
+void store_gateway::send(const store::call& call) {
+    if (call.kind == store::call_kind::write) {
+        m_writes++;
+    } else {
+        m_reads++;
+    }
+    m_client.send(
+        make_http_call(m_url, call, m_timeout),
+        [this, call](const http::reply& in) {
+            m_scheduler.post(store_replied{call, read_reply(call, in)});
+        });
+}
+
+} // namespace eelgrasslever::daemon
--- /dev/null
+++ b/src/dispatch/session.cpp
@@ -0,0 +1,386 @@
+#include "eelgrasslever/dispatch/session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrasslever::dispatch {
+
+using endpoint::call_kind;
+using endpoint::task_state;
+
+namespace {
+
+constexpr std::size_t starts_per_call = 64;
+
+bool counts_as_occupied(task_phase phase) {
+    return phase != task_phase::reserved;
+}
+
+endpoint::task_report report_of(const local_task& task, std::string reason) {
+    endpoint::task_report out;
+    out.id = task.spec.id;
+    out.reason = std::move(reason);
+    out.repeatable = task.spec.repeatable;
+    return out;
+}
+
+} // namespace
+
+session::session(std::string endpoint, std::string holder, const timing& times)
+    : m_name(std::move(endpoint)), m_holder(std::move(holder)), m_times(times) {
+}
+
+void session::set_phase(local_task& task, task_phase next) {
+    bool before = counts_as_occupied(task.phase);
+    bool after = counts_as_occupied(next);
+    if (after && !before) {
+        m_occupied += task.spec.need;
+    }
+    if (before && !after) {
+        m_occupied -= task.spec.need;
+    }
+    task.phase = next;
+}
+
+bool session::was_sent(const local_task& task) const {
+    return task.phase != task_phase::reserved &&
+           std::find(m_pending_starts.begin(), m_pending_starts.end(),
+                     task.spec.id) == m_pending_starts.end();
+}
+
+std::vector<std::string> session::task_ids() const {
+    std::vector<std::string> out;
+    for (const auto& [id, task] : m_tasks) {
+        out.push_back(id);
+    }
+    return out;
+}
+
+void session::reserve(local_task task) {
+    task.phase = task_phase::reserved;
+    m_committed += task.spec.need;
+    std::string id = task.spec.id;
+    m_tasks[id] = std::move(task);
+}
+
+void session::start(const std::string& task) {
+    set_phase(m_tasks.at(task), task_phase::starting);
+    m_pending_starts.push_back(task);
+}
+
+void session::stop(const std::string& task, std::vector<event>& events) {
+    auto found = m_tasks.find(task);
+    if (found == m_tasks.end()) {
+        return;
+    }
+    bool pending = std::erase(m_pending_starts, task) > 0;
+    if (pending || found->second.phase == task_phase::reserved) {
+        auto report = report_of(found->second, "stopped before it was sent");
+        finish(task, event_kind::not_started, report, events);
+        return;
+    }
+    if (found->second.phase == task_phase::stopping) {
+        return;
+    }
+    // A start under way is settled first; its report then brings the stop.
+    set_phase(found->second, task_phase::stopping);
+    m_pending_stops.push_back(task);
+}
+
+void session::finish(const std::string& task, event_kind kind,
+                     const endpoint::task_report& report,
+                     std::vector<event>& events) {
+    auto found = m_tasks.find(task);
+    if (found == m_tasks.end()) {
+        return;
+    }
+    set_phase(found->second, task_phase::reserved);
+    m_committed -= found->second.spec.need;
+    m_tasks.erase(found);
+    std::erase(m_pending_starts, task);
+    std::erase(m_pending_stops, task);
+    events.push_back({kind, m_name, task, report, {}, {}});
+}
+
+endpoint::call session::make_call(call_kind kind) const {
+    endpoint::call out;
+    out.kind = kind;
+    out.holder = m_holder;
+    out.epoch = m_epoch;
+    out.claim_ttl = m_times.claim_ttl;
+    out.timeout = m_times.call_timeout;
+    return out;
+}
+
+void session::advance(base::instant now, std::vector<outgoing_call>& calls,
+                      std::vector<event>& events) {
+    check_lost(now, events);
+    if (m_phase == phase::idle && m_desired && !m_control_in_flight &&
+        now >= m_next_claim) {
+        m_phase = phase::claiming;
+        m_control_in_flight = true;
+        endpoint::call claim = make_call(call_kind::claim);
+        claim.epoch = 0;
+        claim.acknowledged = m_acknowledged;
+        claim.fresh_connection = m_fresh_connection;
+        calls.push_back({m_name, claim});
+        return;
+    }
+    if (m_phase != phase::owned) {
+        return;
+    }
+    bool give_up = m_release_now || (!m_desired && m_tasks.empty());
+    if (give_up && !m_start_in_flight && !m_control_in_flight) {
+        m_phase = phase::releasing;
+        m_control_in_flight = true;
+        calls.push_back({m_name, make_call(call_kind::release)});
+        return;
+    }
+    if (!m_control_in_flight) {
+        m_control_in_flight = true;
+        endpoint::call poll = make_call(call_kind::poll);
+        poll.wait = give_up ? base::milliseconds(0) : m_times.poll_wait;
+        poll.acknowledged = m_acknowledged;
+        poll.timeout = m_times.poll_wait + m_times.call_timeout;
+        calls.push_back({m_name, poll});
+    }
+    if (!m_pending_starts.empty() && !m_start_in_flight && !m_release_now) {
+        m_start_in_flight = true;
+        endpoint::call start = make_call(call_kind::start);
+        std::size_t count = std::min(starts_per_call, m_pending_starts.size());
+        for (std::size_t i = 0; i < count; ++i) {
+            start.starts.push_back(m_tasks.at(m_pending_starts[i]).spec);
+        }
+        m_pending_starts.erase(m_pending_starts.begin(),
+                               m_pending_starts.begin() +
+                                   static_cast<std::ptrdiff_t>(count));
+        calls.push_back({m_name, start});
+    }
+    if (!m_pending_stops.empty() && !m_stop_in_flight && !m_start_in_flight) {
+        m_stop_in_flight = true;
+        endpoint::call stop = make_call(call_kind::stop);
+        stop.stops.swap(m_pending_stops);
+        calls.push_back({m_name, stop});
+    }
+}
+
+void session::on_reply(const endpoint::call& call, const endpoint::reply& reply,
+                       base::instant now, std::vector<event>& events) {
+    switch (call.kind) {
+    case call_kind::claim:
+        m_control_in_flight = false;
+        on_claim(reply, now, events);
+        return;
+    case call_kind::release:
+        m_control_in_flight = false;
+        on_release(reply, now, events);
+        return;
+    case call_kind::poll:
+        m_control_in_flight = false;
+        break;
+    case call_kind::start:
+        m_start_in_flight = false;
+        break;
+    case call_kind::stop:
+        m_stop_in_flight = false;
+        break;
+    }
+    bool current = m_phase == phase::owned && call.epoch == m_epoch;
+    if (!current) {
+        return;
+    }
+    if (!reply.reached) {
+        lose_contact(now);
+        return;
+    }
+    if (call.kind == call_kind::start) {
+        on_start(call, reply, events);
+    }
+    if (!reply.accepted) {
+        yield_claim(reply.holder, now, events);
+        return;
+    }
+    if (call.kind == call_kind::poll) {
+        on_poll(reply, now, events);
+    }
+}
+
+void session::on_claim(const endpoint::reply& reply, base::instant now,
+                       std::vector<event>& events) {
+    m_phase = phase::idle;
+    m_next_claim = now + m_times.claim_retry;
+    if (!reply.reached) {
+        m_fresh_connection = true;
+        return;
+    }
+    m_fresh_connection = false;
+    if (!reply.accepted) {
+        m_other_holder = reply.holder;
+        yield_claim(reply.holder, now, events);
+        // Another holder's claim lapses no sooner than this.
+        auto wait = std::clamp(reply.claim_remaining, base::milliseconds(20),
+                               m_times.claim_retry);
+        m_next_claim = now + wait;
+        return;
+    }
+    m_phase = phase::owned;
+    m_other_holder.clear();
+    m_epoch = reply.epoch;
+    m_capacity = reply.capacity;
+    m_leaving_said = reply.leaving;
+    m_last_renewal = now;
+    reconcile(reply, events);
+    m_boot = reply.boot;
+    events.push_back({event_kind::gained, m_name, {}, {}, {}, {}});
+}
+
+void session::reconcile(const endpoint::reply& reply,
+                        std::vector<event>& events) {
+    bool restarted = m_boot != 0 && m_boot != reply.boot;
+    if (restarted) {
+        m_acknowledged = 0;
+    }
+    std::map<std::string, bool> present;
+    for (const endpoint::task_report& report : reply.reports) {
+        present[report.id] = true;
+        apply_report(report, events);
+    }
+    std::vector<std::string> absent;
+    for (const auto& [id, task] : m_tasks) {
+        if (was_sent(task) && !present.contains(id)) {
+            absent.push_back(id);
+        }
+    }
+    for (const std::string& id : absent) {
+        const local_task& task = m_tasks.at(id);
+        bool never_began = task.phase == task_phase::starting && !restarted;
+        auto report =
+            report_of(task, never_began ? "the endpoint never received it"
+                                        : "the endpoint has restarted");
+        finish(id, never_began ? event_kind::not_started : event_kind::lost,
+               report, events);
+    }
+}
+
+void session::apply_report(const endpoint::task_report& report,
+                           std::vector<event>& events) {
+    m_acknowledged = std::max(m_acknowledged, report.sequence);
+    auto found = m_tasks.find(report.id);
+    if (report.state == task_state::running) {
+        if (found == m_tasks.end()) {
+            local_task adopted;
+            adopted.spec.id = report.id;
+            adopted.spec.need = report.need;
+            adopted.spec.kind = report.kind;
+            adopted.spec.tier = report.tier;
+            adopted.spec.repeatable = report.repeatable;
+            reserve(adopted);
+            set_phase(m_tasks.at(report.id), task_phase::running);
+            events.push_back(
+                {event_kind::adopted, m_name, report.id, report, {}, {}});
+            return;
+        }
+        if (found->second.phase == task_phase::starting) {
+            set_phase(found->second, task_phase::running);
+            events.push_back(
+                {event_kind::started, m_name, report.id, report, {}, {}});
+        }
+        return;
+    }
+    if (report.state == task_state::refused) {
+        finish(report.id, event_kind::not_started, report, events);
+        return;
+    }
+    if (found == m_tasks.end()) {
+        events.push_back(
+            {event_kind::ended, m_name, report.id, report, {}, {}});
+        return;
+    }
+    finish(report.id, event_kind::ended, report, events);
+}
+
+void session::on_poll(const endpoint::reply& reply, base::instant now,
+                      std::vector<event>& events) {
+    m_last_renewal = now;
+    m_leaving_said = reply.leaving;
+    for (const endpoint::task_report& report : reply.reports) {
+        apply_report(report, events);
+    }
+}
+
+void session::on_start(const endpoint::call& call, const endpoint::reply& reply,
+                       std::vector<event>& events) {
+    if (reply.accepted) {
+        for (const endpoint::task_report& report : reply.reports) {
+            apply_report(report, events);
+        }
+        return;
+    }
+    // Refused as a whole: the claim had lapsed or was fenced, so none began.
+    for (const endpoint::task_spec& spec : call.starts) {
+        auto found = m_tasks.find(spec.id);
+        if (found != m_tasks.end()) {
+            auto report = report_of(found->second, "the claim had lapsed");
+            finish(spec.id, event_kind::not_started, report, events);
+        }
+    }
+}
+
+void session::on_release(const endpoint::reply& reply, base::instant now,
+                         std::vector<event>& events) {
+    m_phase = phase::idle;
+    m_release_now = false;
+    m_next_claim = now + m_times.claim_retry;
+    if (!reply.reached) {
+        m_fresh_connection = true;
+    }
+    yield_claim("", now, events);
+    events.push_back({event_kind::dropped, m_name, {}, {}, {}, {}});
+}
+
+void session::lose_contact(base::instant now) {
+    m_phase = phase::idle;
+    m_fresh_connection = true;
+    m_next_claim = now;
+}
+
+void session::yield_claim(const std::string& holder, base::instant now,
+                          std::vector<event>& events) {
+    bool was_owned = m_phase == phase::owned;
+    m_phase = phase::idle;
+    m_next_claim = now;
+    bool other = !holder.empty() && holder != m_holder;
+    bool released = holder.empty() && !was_owned;
+    // An own claim that merely lapsed is taken again with its tasks in place.
+    if (!other && !released) {
+        return;
+    }
+    for (const std::string& id : task_ids()) {
+        const local_task& task = m_tasks.at(id);
+        auto report = report_of(task, "the claim passed to another VM");
+        finish(id, was_sent(task) ? event_kind::moved : event_kind::not_started,
+               report, events);
+        events.back().holder = holder;
+        events.back().lease_over = m_last_renewal + m_times.lost_after();
+    }
+    if (was_owned) {
+        events.push_back({event_kind::dropped, m_name, {}, {}, holder, {}});
+    }
+}
+
+void session::check_lost(base::instant now, std::vector<event>& events) {
+    bool silent = m_phase == phase::idle || m_phase == phase::claiming;
+    if (!silent || m_tasks.empty() ||
+        now < m_last_renewal + m_times.lost_after()) {
+        return;
+    }
+    for (const std::string& id : task_ids()) {
+        const local_task& task = m_tasks.at(id);
+        auto report = report_of(task, "the endpoint is out of reach");
+        finish(id, was_sent(task) ? event_kind::lost : event_kind::not_started,
+               report, events);
+    }
+    events.push_back({event_kind::dropped, m_name, {}, {}, {}, {}});
+}
+
+} // namespace eelgrasslever::dispatch
--- /dev/null
+++ b/src/journal/shard.cpp
@@ -0,0 +1,203 @@
+#include "eelgrasslever/journal/shard.hpp"
+
+#include "eelgrasslever/base/json.hpp"
+
+#include <utility>
+#include <xxhash.h>
+
+namespace eelgrasslever::journal {
+
+namespace {
+
+// Entries of finished requests are dropped only when the shard has grown past
+// this, so that small deployments keep answers longer.
+constexpr std::size_t prune_above_bytes = 64 * 1024;
+
+void drop_expired(entries& all, std::int64_t now_unix_ms) {
+    std::erase_if(all, [now_unix_ms](const auto& item) {
+        bool over = item.second.final_answer.has_value() ||
+                    item.second.request_text.empty();
+        return over && item.second.expires_unix_ms < now_unix_ms;
+    });
+}
+
+const entry* find_entry(const entries& all, const std::string& id) {
+    auto found = all.find(id);
+    return found == all.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+shard::shard(std::string key, std::string writer)
+    : m_key(std::move(key)), m_writer(std::move(writer)) {}
+
+void shard::submit(operation op) {
+    m_waiting.push_back(std::move(op));
+}
+
+void shard::refresh(std::function<void(const entries*)> on_read) {
+    m_readers.push_back(std::move(on_read));
+}
+
+std::string shard::serialize() const {
+    nlohmann::json out = {{"writer", m_writer},
+                          {"sequence", m_sequence},
+                          {"entries", m_proposed}};
+    return out.dump();
+}
+
+std::optional<store::call> shard::next_call(std::int64_t now_unix_ms) {
+    if (m_in_flight) {
+        return std::nullopt;
+    }
+    bool work = !m_waiting.empty() || !m_committing.empty();
+    if (!work && m_readers.empty()) {
+        return std::nullopt;
+    }
+    store::call call;
+    call.key = m_key;
+    if (!m_cached || !m_readers.empty() || m_read_back) {
+        call.kind = store::call_kind::read;
+        m_in_flight = true;
+        return call;
+    }
+    // Everything that waits is applied in order to one proposal.
+    for (operation& op : m_waiting) {
+        m_committing.push_back(std::move(op));
+    }
+    m_waiting.clear();
+    m_proposed = m_entries;
+    if (m_value_bytes > prune_above_bytes) {
+        drop_expired(m_proposed, now_unix_ms);
+    }
+    std::vector<operation> accepted;
+    for (operation& op : m_committing) {
+        const entry* present = find_entry(m_proposed, op.id);
+        auto changed = op.change(present);
+        if (!changed) {
+            op.done(commit_result::refused, present);
+            continue;
+        }
+        m_proposed[op.id] = std::move(*changed);
+        accepted.push_back(std::move(op));
+    }
+    m_committing = std::move(accepted);
+    if (m_committing.empty()) {
+        return std::nullopt;
+    }
+    m_sequence++;
+    call.kind = store::call_kind::write;
+    call.expected_version = m_version;
+    call.value = serialize();
+    m_in_flight = true;
+    return call;
+}
+
+void shard::on_reply(const store::call& call, const store::reply& reply) {
+    m_in_flight = false;
+    if (call.kind == store::call_kind::read) {
+        on_read(reply);
+    } else {
+        on_write(reply);
+    }
+}
+
+void shard::load(const store::reply& reply) {
+    m_cached = true;
+    m_version = reply.version;
+    m_value_bytes = reply.value.size();
+    m_entries.clear();
+    m_stored_writer.clear();
+    m_stored_sequence = 0;
+    if (reply.version == store::absent) {
+        return;
+    }
+    auto parsed = base::parse_object(reply.value, "journal.read", m_key);
+    if (!parsed) {
+        return;
+    }
+    m_stored_writer = parsed->value("writer", "");
+    m_stored_sequence = parsed->value("sequence", std::uint64_t{0});
+    if (parsed->contains("entries")) {
+        m_entries = (*parsed)["entries"].get<entries>();
+    }
+}
+
+void shard::on_read(const store::reply& reply) {
+    if (reply.result != store::status::ok) {
+        m_cached = false;
+        fail_all();
+        return;
+    }
+    load(reply);
+    if (m_read_back) {
+        m_read_back = false;
+        bool ours =
+            m_stored_writer == m_writer && m_stored_sequence == m_sequence;
+        if (ours) {
+            finish_committed();
+        }
+    }
+    auto readers = std::move(m_readers);
+    m_readers.clear();
+    for (auto& reader : readers) {
+        reader(&m_entries);
+    }
+}
+
+void shard::on_write(const store::reply& reply) {
+    switch (reply.result) {
+    case store::status::ok:
+        m_version = reply.version;
+        m_entries = m_proposed;
+        m_stored_writer = m_writer;
+        m_stored_sequence = m_sequence;
+        finish_committed();
+        return;
+    case store::status::conflict:
+        // An earlier write of ours whose reply was lost may be the winner.
+        m_cached = false;
+        m_read_back = true;
+        return;
+    case store::status::unreachable:
+        m_cached = false;
+        m_read_back = true;
+        return;
+    case store::status::refused:
+        m_cached = false;
+        fail_all();
+        return;
+    }
+}
+
+void shard::finish_committed() {
+    auto done = std::move(m_committing);
+    m_committing.clear();
+    for (operation& op : done) {
+        op.done(commit_result::recorded, find_entry(m_entries, op.id));
+    }
+}
+
+void shard::fail_all() {
+    m_read_back = false;
+    auto failed = std::move(m_committing);
+    m_committing.clear();
+    for (operation& op : m_waiting) {
+        failed.push_back(std::move(op));
+    }
+    m_waiting.clear();
+    auto readers = std::move(m_readers);
+    m_readers.clear();
+    for (operation& op : failed) {
+        op.done(commit_result::unavailable, nullptr);
+    }
+    for (auto& reader : readers) {
+        reader(nullptr);
+    }
+}
+
+std::size_t shard_of(const std::string& id, std::size_t shards) {
+    return XXH3_64bits(id.data(), id.size()) % shards;
+}
+
+} // namespace eelgrasslever::journal
--- /dev/null
+++ b/src/policies/service.cpp
@@ -0,0 +1,28 @@
+// Long-running services; they end when they are cancelled.
+#include "eelgrasslever/admission/policy.hpp"
+
+namespace eelgrasslever::policies {
+namespace {
+
+using admission::policy;
+using admission::reclaim_level;
+
+class service_policy : public policy {
+  public:
+    int paying_rank() const override { return 1; }
+    reclaim_level may_reclaim() const override {
+        return reclaim_level::trial_service;
+    }
+    reclaim_level reclaimed_as(bundle::tier owner) const override {
+        return owner == bundle::tier::trial ? reclaim_level::trial_service
+                                            : reclaim_level::none;
+    }
+    bool durable() const override { return true; }
+    bool long_running() const override { return true; }
+};
+
+const service_policy plugin;
+const kernel::registration<policy> registered("service", plugin);
+
+} // namespace
+} // namespace eelgrasslever::policies
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,245 @@
+#include "eelgrasslever/wire/codec.hpp"
+
+#include "eelgrasslever/wire/schema/peer_generated.h"
+
+#include <array>
+
+namespace eelgrasslever::wire {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+struct packed {
+    schema::Content type;
+    Offset<void> content;
+};
+
+packed pack(FlatBufferBuilder& to, const heartbeat& in) {
+    auto largest =
+        schema::CreateResources(to, in.largest.slots, in.largest.cpu_milli,
+                                in.largest.memory_mb, in.largest.accelerators);
+    auto fd = to.CreateString(in.failure_domain);
+    auto http = to.CreateString(in.http_address);
+    auto peer = to.CreateString(in.peer_address);
+    auto gone = to.CreateVectorOfStrings(in.gone);
+    auto out = schema::CreateHeartbeat(
+        to, fd, http, peer, in.sequence, in.echo, in.draining, in.left,
+        in.bundle_version, in.list_version, in.platform_reached, in.free_slots,
+        largest, in.capacity_slots, gone);
+    return {schema::Content_Heartbeat, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const holdings& in) {
+    auto endpoints = to.CreateVectorOfStrings(in.endpoints);
+    auto out = schema::CreateHoldings(to, in.revision, endpoints);
+    return {schema::Content_Holdings, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const document& in) {
+    auto text = to.CreateString(in.text);
+    auto kind = static_cast<std::uint8_t>(in.kind);
+    auto out = schema::CreateDocument(to, kind, in.version, text);
+    return {schema::Content_Document, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const locate& in) {
+    auto id = to.CreateString(in.request_id);
+    auto out = schema::CreateLocate(to, in.query, id, in.attach, in.cell_wide);
+    return {schema::Content_Locate, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const located& in) {
+    auto id = to.CreateString(in.request_id);
+    auto found = static_cast<std::uint8_t>(in.found);
+    auto out = schema::CreateLocated(to, in.query, id, found);
+    return {schema::Content_Located, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const settled& in) {
+    auto id = to.CreateString(in.request_id);
+    auto body = to.CreateString(in.answer.body);
+    auto detail = to.CreateString(in.answer.detail);
+    auto ran_at = to.CreateString(in.answer.ran_at);
+    auto result = static_cast<std::uint8_t>(in.answer.result);
+    std::int64_t retry =
+        in.answer.retry_after ? in.answer.retry_after->count() : -1;
+    auto out = schema::CreateSettled(to, id, in.stopped, result, body, detail,
+                                     retry, ran_at, in.answer.bundle_version,
+                                     in.answer.rejected);
+    return {schema::Content_Settled, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const forward& in) {
+    auto id = to.CreateString(in.request_id);
+    auto text = to.CreateString(in.request_text);
+    auto out = schema::CreateForward(to, id, text, in.remaining.count());
+    return {schema::Content_Forward, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const cancel& in) {
+    auto id = to.CreateString(in.request_id);
+    return {schema::Content_Cancel, schema::CreateCancel(to, id).Union()};
+}
+
+std::string text(const flatbuffers::String* in) {
+    return in == nullptr ? std::string() : in->str();
+}
+
+std::vector<std::string>
+texts(const flatbuffers::Vector<Offset<flatbuffers::String>>* in) {
+    std::vector<std::string> out;
+    if (in == nullptr) {
+        return out;
+    }
+    for (const flatbuffers::String* item : *in) {
+        out.push_back(text(item));
+    }
+    return out;
+}
+
+heartbeat unpack(const schema::Heartbeat& in) {
+    heartbeat out;
+    out.failure_domain = text(in.failure_domain());
+    out.http_address = text(in.http_address());
+    out.peer_address = text(in.peer_address());
+    out.sequence = in.sequence();
+    out.echo = in.echo();
+    out.draining = in.draining();
+    out.left = in.left();
+    out.bundle_version = in.bundle_version();
+    out.list_version = in.list_version();
+    out.platform_reached = in.platform_reached();
+    out.free_slots = in.free_slots();
+    if (const schema::Resources* largest = in.largest()) {
+        out.largest = {largest->slots(), largest->cpu_milli(),
+                       largest->memory_mb(), largest->accelerators()};
+    }
+    out.capacity_slots = in.capacity_slots();
+    out.gone = texts(in.gone());
+    return out;
+}
+
+settled unpack(const schema::Settled& in) {
+    settled out;
+    out.request_id = text(in.request_id());
+    out.stopped = in.stopped();
+    auto highest = static_cast<std::uint8_t>(base::outcome::unknown);
+    out.answer.result = in.outcome() <= highest
+                            ? static_cast<base::outcome>(in.outcome())
+                            : base::outcome::unknown;
+    out.answer.body = text(in.body());
+    out.answer.detail = text(in.detail());
+    if (in.retry_after_ms() >= 0) {
+        out.answer.retry_after = base::milliseconds(in.retry_after_ms());
+    }
+    out.answer.ran_at = text(in.ran_at());
+    out.answer.bundle_version = in.bundle_version();
+    out.answer.rejected = in.rejected();
+    return out;
+}
+
+located unpack(const schema::Located& in) {
+    auto highest = static_cast<std::uint8_t>(verdict::undecided);
+    // An unknown verdict of a newer sender must not read as "not here".
+    verdict found = in.verdict() <= highest ? static_cast<verdict>(in.verdict())
+                                            : verdict::undecided;
+    return {in.query(), text(in.request_id()), found};
+}
+
+std::optional<message> unpack(const schema::Envelope& in) {
+    switch (in.content_type()) {
+    case schema::Content_Heartbeat:
+        return unpack(*in.content_as_Heartbeat());
+    case schema::Content_Holdings: {
+        const auto* from = in.content_as_Holdings();
+        return holdings{from->revision(), texts(from->endpoints())};
+    }
+    case schema::Content_Document: {
+        const auto* from = in.content_as_Document();
+        auto kind =
+            from->kind() == 0 ? document_kind::bundle : document_kind::vm_list;
+        return document{kind, from->version(), text(from->text())};
+    }
+    case schema::Content_Locate: {
+        const auto* from = in.content_as_Locate();
+        return locate{from->query(), text(from->request_id()), from->attach(),
+                      from->cell_wide()};
+    }
+    case schema::Content_Located:
+        return unpack(*in.content_as_Located());
+    case schema::Content_Settled:
+        return unpack(*in.content_as_Settled());
+    case schema::Content_Forward: {
+        const auto* from = in.content_as_Forward();
+        return forward{text(from->request_id()), text(from->request_text()),
+                       base::milliseconds(from->remaining_ms())};
+    }
+    case schema::Content_Cancel:
+        return cancel{text(in.content_as_Cancel()->request_id())};
+    case schema::Content_NONE:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string encode(const envelope& value) {
+    FlatBufferBuilder builder;
+    auto from = builder.CreateString(value.from);
+    packed content =
+        std::visit([&builder](const auto& item) { return pack(builder, item); },
+                   value.content);
+    builder.Finish(
+        schema::CreateEnvelope(builder, from, content.type, content.content));
+    std::size_t size = builder.GetSize();
+    std::string out;
+    out.reserve(frame_header_bytes + size);
+    for (std::size_t byte = 0; byte < frame_header_bytes; ++byte) {
+        out.push_back(static_cast<char>((size >> (8 * byte)) & 0xFF));
+    }
+    out.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+    return out;
+}
+
+base::result<envelope> decode(std::string_view content) {
+    flatbuffers::Verifier verifier(
+        reinterpret_cast<const std::uint8_t*>(content.data()), content.size());
+    if (!schema::VerifyEnvelopeBuffer(verifier)) {
+        return base::fail(base::error_code::invalid_argument, "wire.decode",
+                          "peer", "the frame is not a valid envelope");
+    }
+    const schema::Envelope& in = *schema::GetEnvelope(content.data());
+    auto unpacked = unpack(in);
+    if (!unpacked) {
+        return base::fail(base::error_code::invalid_argument, "wire.decode",
+                          text(in.from()), "the message type is not known");
+    }
+    return envelope{text(in.from()), *std::move(unpacked)};
+}
+
+base::result<std::optional<std::string>> frame_reader::next() {
+    if (m_buffer.size() < frame_header_bytes) {
+        return std::nullopt;
+    }
+    std::size_t size = 0;
+    for (std::size_t byte = 0; byte < frame_header_bytes; ++byte) {
+        auto part = static_cast<unsigned char>(m_buffer[byte]);
+        size |= static_cast<std::size_t>(part) << (8 * byte);
+    }
+    if (size > max_frame_bytes) {
+        return base::fail(
+            base::error_code::invalid_argument, "wire.read", "peer",
+            "a frame of " + std::to_string(size) + " bytes is over the limit");
+    }
+    if (m_buffer.size() < frame_header_bytes + size) {
+        return std::nullopt;
+    }
+    std::string out = m_buffer.substr(frame_header_bytes, size);
+    m_buffer.erase(0, frame_header_bytes + size);
+    return out;
+}
+
+} // namespace eelgrasslever::wire
--- /dev/null
+++ b/tools/eelload/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 0;
+}
