Add seeded randomised runs of the decisions under faults

Cause: nothing proved the invariants. Change: a small fake cell (nodes, endpoints, store, peers under a hand-driven clock) with kills, freezes, cuts, store trouble, late calls, planned stops and cancellations, and an audit of what ran against what was told.

--- a/include/eelgrasslever/dispatch/fleet.hpp
+++ b/include/eelgrasslever/dispatch/fleet.hpp
@@ -73,14 +73,14 @@
     }
 
   private:
-    void refresh(session& at, base::instant now);
+    void refresh(session& at);
     void choose_victims(session& at, admission::reclaim_level level);
     void start_fitting_groups();
     [[nodiscard]] bool group_fits(const placed_group& group) const;
-    void absorb(session& at, std::size_t first_event, base::instant now);
-    void learn(session& at, const event& ended, const local_task& task,
-               base::instant now);
+    void absorb(session& at, std::size_t first_event);
+    void learn(session& at, const event& ended, const local_task& task);
 
+    base::instant m_now{}; ///< as of the last call that gave it
     std::string m_holder;
     timing m_times;
     placement::planner m_planner;
--- a/include/eelgrasslever/node/book.hpp
+++ b/include/eelgrasslever/node/book.hpp
@@ -44,6 +44,7 @@
     base::instant deadline{};
     base::instant placed_at{};
     bool needs_locate{false}; ///< ask again before any start
+    bool admitted{false};     ///< checked against bundle, quota and queue
     bool forwarded_here{false};
     bool recorded{false};  ///< the journal holds its intent
     bool ever_sent{false}; ///< a start was sent to some endpoint
--- a/include/eelgrasslever/node/intake.hpp
+++ b/include/eelgrasslever/node/intake.hpp
@@ -33,6 +33,10 @@
     /// Ends an entry: tells every caller, member and job that waits for it.
     void settle(const entry_ptr& item, base::answer value);
 
+    /// Checks a request that is now known not to have run before.
+    /// @return false where it was refused and settled.
+    bool admit(const entry_ptr& item);
+
     /// Puts an entry into the queue, or settles it where it can't be in time.
     void enqueue(const entry_ptr& item);
 
@@ -58,7 +62,7 @@
     never_runnable(const admission::request& request) const;
     bool attach(const admission::request& request, caller_token caller);
     void begin(const entry_ptr& item);
-    void begin_recorded(const entry_ptr& item);
+    void finish_lookup(const entry_ptr& item);
     void settle_overdue(const entry_ptr& item);
     void wake(const entry_ptr& item);
     entry_ptr open_entry(const admission::request& request,
--- a/include/eelgrasslever/node/locator.hpp
+++ b/include/eelgrasslever/node/locator.hpp
@@ -2,8 +2,10 @@
 /// Asks the other members whether one of them knows a request.
 ///
 /// A member that answers `unknown` remembers the question and will ask back
-/// before it starts that request itself. So of two members that ask about the
-/// same id at once, exactly one goes on: the one with the lower id.
+/// before it starts that request itself. Of two members that ask about the
+/// same id at once exactly one goes on: the one to which the other has already
+/// answered `unknown`, else the one with the lower id. The one that gave way
+/// asks again, since an `unknown` that it received crossed its own.
 #pragma once
 
 #include "eelgrasslever/node/context.hpp"
@@ -30,10 +32,13 @@
     struct round {
         std::uint64_t query{0};
         std::set<std::string> waiting;
+        bool gave_way{false};
         bool undecided{false};
         bool local_doubt{false}; ///< the doubt is about our own FD
         base::instant give_up{};
     };
+    [[nodiscard]] bool goes_first(const std::string& id,
+                                  const std::string& other) const;
     void finish(const std::string& id, wire::verdict found,
                 const std::string& home);
     void finish_if_complete(const std::string& id);
--- a/include/eelgrasslever/node/recorder.hpp
+++ b/include/eelgrasslever/node/recorder.hpp
@@ -20,6 +20,10 @@
     /// Gives up the home of an intent that was never sent.
     void release_intent(const std::string& id);
     void submit(journal::operation op);
+    /// Reads one entry afresh; @p done gets whether the store answered, and
+    /// the entry or null.
+    void look_up(const std::string& id,
+                 std::function<void(bool reached, const journal::entry*)> done);
     /// Reads every shard afresh.
     void scan(std::function<void(const journal::entries&)> on_shard);
 
--- a/src/daemon/responses.cpp
+++ b/src/daemon/responses.cpp
@@ -87,7 +87,7 @@
 http::response status_response(const std::string& id,
                                const base::answer& value) {
     constexpr int status_not_found = 404;
-    if (value.rejected && value.detail == "no such request is known") {
+    if (value.rejected && value.result == base::outcome::unknown) {
         return problem_response(status_not_found, "no such request",
                                 "no entry VM that answers knows it");
     }
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -81,6 +81,7 @@
         if (assignments[i].level != reclaim_level::none) {
             choose_victims(at, assignments[i].level);
         }
+        refresh(at);
     }
     m_waiting_groups[request_id] = std::move(group);
     start_fitting_groups();
@@ -121,7 +122,7 @@
     session& at = *m_sessions.at(found->second);
     std::size_t first = m_events.size();
     at.stop(task, m_events);
-    absorb(at, first, base::instant{});
+    absorb(at, first);
 }
 
 bool fleet::group_fits(const placed_group& group) const {
@@ -154,13 +155,13 @@
     }
 }
 
-void fleet::refresh(session& at, base::instant now) {
+void fleet::refresh(session& at) {
     if (!at.open()) {
         m_tree.erase(at.name());
         return;
     }
     base::resources usable = at.capacity();
-    usable.slots = at.condition().slot_limit(usable.slots, now);
+    usable.slots = at.condition().slot_limit(usable.slots, m_now);
     placement::room_by_level room;
     room[0] = usable - at.committed();
     for (std::size_t level = 1; level < room.size(); ++level) {
@@ -182,15 +183,14 @@
     m_tree.set(at.name(), room);
 }
 
-void fleet::learn(session& at, const event& ended, const local_task& task,
-                  base::instant now) {
+void fleet::learn(session& at, const event& ended, const local_task& task) {
     bool failed = ended.report.state == endpoint::task_state::failed;
     bool completed = ended.report.state == endpoint::task_state::completed;
     if (!failed && !completed) {
         return;
     }
     m_failures.observe(failed);
-    at.condition().observe(failed, m_failures, now, m_times.quarantine);
+    at.condition().observe(failed, m_failures, m_now, m_times.quarantine);
     if (completed && task.expected_run.count() > 0) {
         at.condition().observe_slowness(
             static_cast<double>(ended.report.ran.count()) /
@@ -199,7 +199,7 @@
 }
 
 // Keeps the task index and the waiting groups in step with a session's events.
-void fleet::absorb(session& at, std::size_t first_event, base::instant now) {
+void fleet::absorb(session& at, std::size_t first_event) {
     for (std::size_t i = first_event; i < m_events.size(); ++i) {
         const event& item = m_events[i];
         switch (item.kind) {
@@ -218,19 +218,21 @@
             break;
         }
     }
-    refresh(at, now);
+    refresh(at);
 }
 
 void fleet::advance(base::instant now, std::vector<outgoing_call>& calls) {
+    m_now = now;
     for (auto& [name, at] : m_sessions) {
         std::size_t first = m_events.size();
         at->advance(now, calls, m_events);
-        absorb(*at, first, now);
+        absorb(*at, first);
     }
 }
 
 void fleet::on_reply(const std::string& endpoint, const endpoint::call& call,
                      const endpoint::reply& reply, base::instant now) {
+    m_now = now;
     auto found = m_sessions.find(endpoint);
     if (found == m_sessions.end()) {
         return;
@@ -248,10 +250,10 @@
     for (std::size_t i = first; i < m_events.size(); ++i) {
         auto task = before.find(m_events[i].task);
         if (m_events[i].kind == event_kind::ended && task != before.end()) {
-            learn(at, m_events[i], task->second, now);
+            learn(at, m_events[i], task->second);
         }
     }
-    absorb(at, first, now);
+    absorb(at, first);
     start_fitting_groups();
 }
 
--- a/src/dispatch/session.cpp
+++ b/src/dispatch/session.cpp
@@ -1,6 +1,7 @@
 #include "eelgrasslever/dispatch/session.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace eelgrasslever::dispatch {
@@ -240,9 +241,22 @@
     if (restarted) {
         m_acknowledged = 0;
     }
-    std::map<std::string, bool> present;
+    std::set<std::string> present;
+    std::set<std::string> running;
     for (const endpoint::task_report& report : reply.reports) {
-        present[report.id] = true;
+        present.insert(report.id);
+        if (report.state == task_state::running) {
+            running.insert(report.id);
+        }
+    }
+    // The ending of an earlier run must not end a later run of the same id.
+    for (const endpoint::task_report& report : reply.reports) {
+        bool superseded = report.state != task_state::running &&
+                          running.contains(report.id);
+        if (superseded) {
+            m_acknowledged = std::max(m_acknowledged, report.sequence);
+            continue;
+        }
         apply_report(report, events);
     }
     std::vector<std::string> absent;
@@ -280,6 +294,10 @@
                 {event_kind::adopted, m_name, report.id, report, {}, {}});
             return;
         }
+        if (found->second.phase == task_phase::stopping) {
+            // The stop may have been lost with the connection.
+            m_pending_stops.push_back(report.id);
+        }
         if (found->second.phase == task_phase::starting) {
             set_phase(found->second, task_phase::running);
             events.push_back(
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -200,17 +200,42 @@
     if (attach(request, caller)) {
         return;
     }
-    auto refused = refusal(request);
+    bool first = request.attempt == attempt_mark::first &&
+                 !m_context.locator->asked_by_other(request.id) &&
+                 !m_context.book.find(request.id);
+    bool closed = m_context.draining || !m_context.bundle_in_force;
+    // What may have been sent before is refused as `not_run` only once the
+    // other members or the journal say that it is new.
+    auto refused = first || closed ? refusal(request) : std::nullopt;
     if (refused) {
+        if (!first) {
+            refused->result = outcome::unknown;
+            refused->detail += "; an earlier attempt may have run";
+        }
         refused->bundle_version = m_context.bundle_version();
         m_context.out.answer(caller, request.id, *refused);
         return;
     }
-    entry_ptr item = open_entry(request, m_context.now + request.timeout);
+    entry_ptr item =
+        open_entry(request, m_context.now + request.timeout);
+    item->admitted = first;
     item->callers.insert(caller);
     begin(item);
 }
 
+bool intake::admit(const entry_ptr& item) {
+    if (item->admitted || item->ever_sent) {
+        return true;
+    }
+    item->admitted = true;
+    auto refused = refusal(item->request);
+    if (!refused) {
+        return true;
+    }
+    settle(item, *refused);
+    return false;
+}
+
 void intake::begin(const entry_ptr& item) {
     const admission::policy& kind = *find_policy(item->request.kind);
     if (kind.durable() || !item->request.repeatable) {
@@ -245,6 +270,7 @@
     }
     entry_ptr item = open_entry(request, m_context.now + request.timeout);
     item->needs_locate = m_context.locator->asked_by_other(request.id);
+    item->admitted = true;
     item->forwarded_here = true;
     item->attached_members.insert(member);
     enqueue(item);
@@ -273,6 +299,7 @@
     entry_ptr item = open_entry(request, deadline);
     item->needs_locate = request.attempt != attempt_mark::first;
     item->parent_job = job_id;
+    item->admitted = true;
     enqueue(item);
 }
 
@@ -313,6 +340,9 @@
         m_context.locator->start(item);
         return;
     }
+    if (!admit(item)) {
+        return;
+    }
     const admission::request& request = item->request;
     const bundle::team_rule* team =
         m_context.bundle_in_force
@@ -358,10 +388,7 @@
         return;
     }
     if (item->lookup && found == wire::verdict::unknown) {
-        auto value = make_answer(outcome::not_run, "no such request is known");
-        value.rejected = true;
-        settle(item, value);
-        m_context.book.erase(item->request.id);
+        finish_lookup(item);
         return;
     }
     if (found == wire::verdict::unknown && m_context.now >= item->doubt_until) {
@@ -389,6 +416,31 @@
                              retry_after_doubt));
 }
 
+// No member knows the id, so the journal has the last word.
+void intake::finish_lookup(const entry_ptr& item) {
+    m_context.recorder->look_up(
+        item->request.id,
+        [this, item](bool reached, const journal::entry* present) {
+            if (item->at == stage::answered) {
+                return;
+            }
+            auto value =
+                make_answer(outcome::unknown, "no such request is known");
+            value.rejected = reached && present == nullptr;
+            if (!reached) {
+                value.detail = "the platform's store can't be asked";
+                value.retry_after = retry_after_doubt;
+            } else if (present != nullptr && present->final_answer) {
+                value = *present->final_answer;
+            } else if (present != nullptr) {
+                value.detail = "it is recorded and no entry VM runs it now";
+                value.retry_after = retry_after_doubt;
+            }
+            settle(item, value);
+            m_context.book.erase(item->request.id);
+        });
+}
+
 void intake::settle(const entry_ptr& item, base::answer value) {
     if (item->at == stage::answered) {
         return;
--- a/src/node/locator.cpp
+++ b/src/node/locator.cpp
@@ -73,17 +73,26 @@
                             wire::locate{query, item->request.id, true, false});
 }
 
+bool locator::goes_first(const std::string& id,
+                         const std::string& other) const {
+    auto own = m_rounds.find(id);
+    if (own == m_rounds.end()) {
+        return false;
+    }
+    bool other_gave_way = !own->second.waiting.contains(other);
+    return other_gave_way || m_context.roster.self_id() < other;
+}
+
 void locator::on_locate(const std::string& from, const wire::locate& question) {
     const std::string& id = question.request_id;
     wire::located reply{question.query, id, wire::verdict::unknown};
     entry_ptr item = m_context.book.find(id);
     bool known = item && worth_attaching(*item);
-    // Two members that ask each other at once: the lower id goes on.
-    bool undecided_here = known && item->at == stage::locating &&
-                          !item->ever_sent && m_context.roster.self_id() > from;
+    bool gives_way = known && item->at == stage::locating &&
+                     !item->ever_sent && !goes_first(id, from);
     // An entry that waits for the asker itself is not here.
     bool at_asker = known && item->at == stage::remote && item->home == from;
-    if (known && !undecided_here && !at_asker) {
+    if (known && !gives_way && !at_asker) {
         reply.found = wire::verdict::mine;
         if (item->at == stage::answered) {
             m_context.out.send_peer(from, reply);
@@ -98,6 +107,10 @@
         return;
     }
     m_asked[id] = m_context.now + question_memory;
+    auto own = m_rounds.find(id);
+    if (gives_way && own != m_rounds.end()) {
+        own->second.gave_way = true;
+    }
     bool silent_member =
         question.cell_wide && m_context.roster.any_silent(from, m_context.now);
     if (silent_member || m_context.book.has_open_tasks_under(id)) {
@@ -131,6 +144,13 @@
     if (found == m_rounds.end() || !found->second.waiting.empty()) {
         return;
     }
+    if (found->second.gave_way && !found->second.undecided) {
+        entry_ptr item = m_context.book.find(id);
+        if (item) {
+            start(item);
+        }
+        return;
+    }
     finish(id,
            found->second.undecided ? wire::verdict::undecided
                                    : wire::verdict::unknown,
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -107,6 +107,9 @@
         }
         item->recorded = true;
         item->needs_locate = false;
+        if (!m_context.intake->admit(item)) {
+            return;
+        }
         bool durable = admission::find_policy(item->request.kind)->durable();
         if (durable) {
             m_context.jobs->start(item);
@@ -234,6 +237,22 @@
     submit(std::move(op));
 }
 
+void recorder::look_up(
+    const std::string& id,
+    std::function<void(bool reached, const journal::entry*)> done) {
+    std::size_t at = journal::shard_of(id, m_shards.size());
+    m_shards[at]->refresh([id, done = std::move(done)](
+                              const journal::entries* all) {
+        if (all == nullptr) {
+            done(false, nullptr);
+            return;
+        }
+        auto found = all->find(id);
+        done(true, found == all->end() ? nullptr : &found->second);
+    });
+    pump(*m_shards[at]);
+}
+
 void recorder::scan(std::function<void(const journal::entries&)> on_shard) {
     for (auto& shard : m_shards) {
         shard->refresh([on_shard](const journal::entries* all) {
--- /dev/null
+++ b/tests/support/fake_cell.cpp
@@ -0,0 +1,618 @@
+#include "fake_cell.hpp"
+
+#include "eelgrasslever/base/json.hpp"
+
+#include <iostream>
+#include <utility>
+
+namespace test_support {
+
+using el::endpoint::call_kind;
+
+namespace {
+
+constexpr milliseconds tick_period{20};
+constexpr milliseconds introduce_period{400};
+constexpr milliseconds store_timeout{500};
+
+std::string domain_name(int domain) {
+    return "fd" + std::to_string(domain);
+}
+
+std::string domain_of(const std::string& vm) {
+    return vm.substr(0, vm.find('-'));
+}
+
+} // namespace
+
+/// One process of an entry VM, with what its effects ask for.
+struct fake_cell::entry_process : el::node::effects {
+    entry_process(fake_cell& owner, std::string vm,
+                  const el::node::node_config& config, std::uint64_t number)
+        : cell(owner), name(std::move(vm)), incarnation(number),
+          node(config, *this) {}
+
+    void call_endpoint(const std::string& endpoint,
+                       const el::endpoint::call& call) override {
+        cell.send_to_endpoint(*this, endpoint, call);
+    }
+    void call_store(const el::store::call& call) override {
+        cell.send_to_store(*this, call);
+    }
+    void send_peer(const std::string& member,
+                   const el::wire::message& message) override {
+        cell.send_to_peer(*this, member, message);
+    }
+    void answer(el::node::caller_token caller, const std::string& id,
+                const base::answer& value) override {
+        auto found = callers.find(caller);
+        if (found == callers.end()) {
+            cell.audit().violate("answered twice: " + id);
+            return;
+        }
+        auto events = found->second;
+        callers.erase(found);
+        events.on_answer(id, value);
+    }
+    void accept(el::node::caller_token caller,
+                const std::string& id) override {
+        auto found = callers.find(caller);
+        if (found != callers.end()) {
+            auto events = found->second;
+            callers.erase(found);
+            if (events.on_accept) {
+                events.on_accept(id);
+            }
+        }
+    }
+    void log(const el::node::log_line& line) override {
+        std::string text = line.event + " at " + name;
+        std::string id;
+        for (const auto& [key, value] : line.fields) {
+            text += " " + key + "=" + value;
+            id = key == "id" ? value : id;
+        }
+        cell.note(id, text);
+    }
+    void span(const el::node::span_record&) override {}
+    void waited(int, milliseconds) override {}
+
+    fake_cell& cell;
+    std::string name;
+    std::uint64_t incarnation;
+    bool frozen{false};
+    std::vector<std::function<void()>> thaw;
+    std::uint64_t next_token{1};
+    std::map<el::node::caller_token, caller_events> callers;
+    instant next_introduction{};
+    std::uint64_t highest_bundle{0};
+    el::node::node node;
+};
+
+struct fake_cell::endpoint_process {
+    std::unique_ptr<standins::endpoint::endpoint_state> state;
+    bool frozen{false};
+    std::vector<std::function<void()>> thaw;
+    std::uint64_t boot{0};
+};
+
+fake_cell::fake_cell(const cell_shape& shape, std::uint64_t seed)
+    : m_shape(shape), m_random(seed),
+      m_author(el::bundle::generate_key_pair()),
+      m_approver(el::bundle::generate_key_pair()) {
+    for (int domain = 0; domain < shape.failure_domains; ++domain) {
+        for (int i = 0; i < shape.entries_per_domain; ++i) {
+            m_entry_names.push_back(domain_name(domain) + "-vm" +
+                                    std::to_string(i));
+        }
+        for (int i = 0; i < shape.endpoints_per_domain; ++i) {
+            std::string name =
+                domain_name(domain) + "-ep" + std::to_string(i);
+            m_endpoint_names.push_back(name);
+            m_endpoints[name] = std::make_unique<endpoint_process>();
+            boot_endpoint(name);
+        }
+    }
+    publish_vms();
+    for (const std::string& name : m_entry_names) {
+        start_entry(name);
+    }
+}
+
+fake_cell::~fake_cell() = default;
+
+void fake_cell::at(instant when, std::function<void()> work) {
+    m_events.push({when, m_next_order++, std::move(work)});
+}
+
+void fake_cell::run_for(milliseconds time) {
+    instant until = m_now + time;
+    while (!m_events.empty() && m_events.top().when <= until) {
+        auto work = m_events.top().work;
+        m_now = std::max(m_now, m_events.top().when);
+        m_events.pop();
+        m_steps++;
+        work();
+    }
+    m_now = until;
+}
+
+milliseconds fake_cell::delay() {
+    constexpr std::uint64_t slow_one_in = 200;
+    constexpr std::uint64_t slow_ms = 120;
+    if (pick(slow_one_in) == 0) {
+        return milliseconds(pick(slow_ms));
+    }
+    return milliseconds(pick(3));
+}
+
+void fake_cell::boot_endpoint(const std::string& name) {
+    endpoint_process& at_process = *m_endpoints.at(name);
+    standins::endpoint::endpoint_config config;
+    config.name = name;
+    config.capacity = {m_shape.slots, 16000, 65536, 0};
+    config.boot = m_next_boot++;
+    config.first_sequence = config.boot * 1'000'000;
+    at_process.boot = config.boot;
+    at_process.state = std::make_unique<standins::endpoint::endpoint_state>(
+        config, [this, name](const standins::endpoint::audit_event& event) {
+            using kind = standins::endpoint::audit_event::kind;
+            if (event.what == kind::start) {
+                end_overdue_elsewhere(name);
+            }
+            note(event.task, std::string(event.what == kind::start
+                                             ? "start at "
+                                             : "end at ") +
+                                 name + " " +
+                                 el::endpoint::to_string(event.state));
+            m_audit.on_endpoint_event(name, event);
+        });
+}
+
+void fake_cell::note(const std::string& id, const std::string& what) const {
+    bool wanted = !m_trace.empty() && (id.empty() || id == m_trace || m_trace == "all");
+    if (wanted) {
+        std::cerr << m_now.time_since_epoch().count() << " " << id << " "
+                  << what << "\n";
+    }
+}
+
+// Whatever a lease has ended, even at a paused endpoint, no longer counts.
+void fake_cell::end_overdue_elsewhere(const std::string& name) {
+    for (auto& [other, process] : m_endpoints) {
+        if (other != name && process->state) {
+            process->state->advance(m_now);
+        }
+    }
+}
+
+void fake_cell::publish_vms(const std::set<std::string>& leaving) {
+    nlohmann::json rows = nlohmann::json::array();
+    auto add = [&](const std::string& name, const char* role) {
+        rows.push_back({{"name", name},
+                        {"role", role},
+                        {"failure_domain", domain_of(name)},
+                        {"rack", "r0"},
+                        {"address", name},
+                        {"peer_address", name},
+                        {"state", leaving.contains(name) ? "leaving"
+                                                         : "live"}});
+    };
+    for (const std::string& name : m_entry_names) {
+        add(name, "entry");
+    }
+    for (const std::string& name : m_endpoint_names) {
+        add(name, "endpoint");
+    }
+    nlohmann::json list = {{"version", ++m_list_version}, {"vms", rows}};
+    m_store.set_vm_list(list.dump());
+}
+
+bool fake_cell::alive(const std::string& entry) const {
+    return m_entries.contains(entry);
+}
+
+const el::node::node* fake_cell::node_of(const std::string& entry) const {
+    auto found = m_entries.find(entry);
+    return found == m_entries.end() ? nullptr : &found->second->node;
+}
+
+void fake_cell::start_entry(const std::string& name) {
+    if (m_entries.contains(name)) {
+        return;
+    }
+    std::uint64_t number = m_next_incarnation++;
+    el::node::node_config config;
+    config.id = name + "@" + std::to_string(number);
+    config.failure_domain = domain_of(name);
+    config.http_address = name;
+    config.peer_address = name;
+    config.seed = m_random();
+    config.operators = {{"author", m_author.public_key},
+                        {"approver", m_approver.public_key}};
+    m_entries[name] =
+        std::make_unique<entry_process>(*this, name, config, number);
+    after(milliseconds(pick(20)), [this, name] { tick(name); });
+}
+
+void fake_cell::in_entry(const std::string& entry, std::uint64_t incarnation,
+                         const std::function<void(entry_process&)>& work) {
+    auto found = m_entries.find(entry);
+    if (found == m_entries.end() ||
+        found->second->incarnation != incarnation) {
+        return;
+    }
+    if (found->second->frozen) {
+        found->second->thaw.push_back(
+            [this, entry, incarnation, work] {
+                in_entry(entry, incarnation, work);
+            });
+        return;
+    }
+    work(*found->second);
+}
+
+void fake_cell::tick(const std::string& name) {
+    auto found = m_entries.find(name);
+    if (found == m_entries.end()) {
+        return;
+    }
+    std::uint64_t number = found->second->incarnation;
+    in_entry(name, number, [this, number](entry_process& self) {
+        self.node.tick(m_now);
+        if (m_now >= self.next_introduction) {
+            self.next_introduction = m_now + introduce_period;
+            introduce(self);
+        }
+        std::uint64_t version = self.node.state().bundle_version();
+        if (version < self.highest_bundle) {
+            m_audit.violate("bundle stepped back at " + self.name);
+        }
+        self.highest_bundle = std::max(self.highest_bundle, version);
+        std::string name = self.name;
+        if (self.node.drained()) {
+            self.node.say_left();
+            after(milliseconds(1), [this, name, number] {
+                in_entry(name, number, [this, name](entry_process&) {
+                    m_entries.erase(name);
+                });
+            });
+            return;
+        }
+        after(tick_period, [this, name, number] {
+            auto again = m_entries.find(name);
+            if (again != m_entries.end() &&
+                again->second->incarnation == number) {
+                tick(name);
+            }
+        });
+    });
+}
+
+void fake_cell::introduce(entry_process& from) {
+    std::set<std::string> known;
+    for (const auto& [id, who] : from.node.state().roster.members()) {
+        known.insert(who.peer_address);
+    }
+    for (const std::string& name : m_entry_names) {
+        if (name != from.name && !known.contains(name)) {
+            auto beat = from.node.make_heartbeat("");
+            std::string sender = from.node.state().config.id;
+            after(delay(), [this, name, sender, beat] {
+                auto to = m_entries.find(name);
+                bool reached =
+                    to != m_entries.end() &&
+                    !cut_between(name, el::membership::vm_name_of(sender));
+                if (reached) {
+                    in_entry(name, to->second->incarnation,
+                             [this, sender, beat](entry_process& self) {
+                                 self.node.on_peer_message(sender, beat,
+                                                           m_now);
+                             });
+                }
+            });
+        }
+    }
+}
+
+bool fake_cell::cut_between(const std::string& a, const std::string& b) const {
+    return m_cuts.contains({std::min(a, b), std::max(a, b)});
+}
+
+void fake_cell::set_cut(const std::string& a, const std::string& b, bool cut) {
+    std::pair<std::string, std::string> key{std::min(a, b), std::max(a, b)};
+    note("", (cut ? "cut " : "join ") + a + " " + b);
+    if (cut) {
+        m_cuts.insert(key);
+    } else {
+        m_cuts.erase(key);
+    }
+}
+
+void fake_cell::set_domain_cut(int a, int b, bool cut) {
+    for (const std::string& one : m_entry_names) {
+        for (const std::string& other : m_entry_names) {
+            if (domain_of(one) == domain_name(a) &&
+                domain_of(other) == domain_name(b)) {
+                set_cut(one, other, cut);
+            }
+        }
+    }
+}
+
+void fake_cell::send_to_peer(entry_process& from, const std::string& member,
+                             const el::wire::message& message) {
+    std::string name = el::membership::vm_name_of(member);
+    std::string sender = from.node.state().config.id;
+    std::string sender_name = from.name;
+    if (const auto* question = std::get_if<el::wire::locate>(&message)) {
+        note(question->request_id, sender + " asks " + member);
+    } else if (const auto* reply = std::get_if<el::wire::located>(&message)) {
+        note(reply->request_id,
+             sender + " replies " +
+                 std::to_string(static_cast<int>(reply->found)) + " to " +
+                 member);
+    } else if (const auto* ended = std::get_if<el::wire::settled>(&message)) {
+        note(ended->request_id, sender + " settles for " + member);
+    } else if (const auto* work = std::get_if<el::wire::forward>(&message)) {
+        note(work->request_id, sender + " forwards to " + member);
+    }
+    after(delay(), [this, name, member, sender, sender_name, message] {
+        auto to = m_entries.find(name);
+        bool reached = to != m_entries.end() &&
+                       !cut_between(name, sender_name) &&
+                       to->second->node.state().config.id == member;
+        if (!reached) {
+            return;
+        }
+        in_entry(name, to->second->incarnation,
+                 [this, sender, message](entry_process& self) {
+                     self.node.on_peer_message(sender, message, m_now);
+                 });
+    });
+}
+
+void fake_cell::send_to_endpoint(entry_process& from,
+                                 const std::string& endpoint,
+                                 const el::endpoint::call& call) {
+    std::string name = from.name;
+    std::uint64_t number = from.incarnation;
+    auto answered = std::make_shared<bool>(false);
+    auto deliver = [this, name, number, endpoint, call,
+                    answered](const el::endpoint::reply& reply) {
+        in_entry(name, number, [this, endpoint, call, answered,
+                                reply](entry_process& self) {
+            if (*answered) {
+                return;
+            }
+            *answered = true;
+            self.node.on_endpoint_reply(endpoint, call, reply, m_now);
+        });
+    };
+    after(call.timeout, [deliver] { deliver({}); });
+    constexpr std::uint64_t late_ms = 6000;
+    bool late = pick(100) < m_late_percent;
+    milliseconds way = late ? milliseconds(pick(late_ms)) : delay();
+    after(way, [this, name, endpoint, call, deliver] {
+        if (cut_between(name, endpoint)) {
+            return;
+        }
+        auto respond = [this, name, endpoint,
+                        deliver](const el::endpoint::reply& reply) {
+            if (cut_between(name, endpoint)) {
+                return;
+            }
+            after(delay(), [deliver, reply] { deliver(reply); });
+        };
+        serve_call(endpoint, call, respond, m_now + call.wait);
+    });
+}
+
+void fake_cell::serve_call(
+    const std::string& endpoint, const el::endpoint::call& call,
+    const std::function<void(el::endpoint::reply)>& respond,
+    instant poll_until) {
+    endpoint_process& to = *m_endpoints.at(endpoint);
+    if (!to.state) {
+        return;
+    }
+    std::uint64_t boot = to.boot;
+    auto again = [this, endpoint, call, respond, poll_until, boot] {
+        if (m_endpoints.at(endpoint)->boot == boot) {
+            serve_call(endpoint, call, respond, poll_until);
+        }
+    };
+    if (to.frozen) {
+        to.thaw.push_back(again);
+        return;
+    }
+    el::endpoint::call sent = call;
+    if (!m_epoch_guard && call.kind == call_kind::start) {
+        // A faulty endpoint that takes any start; see the tests.
+        el::endpoint::call claim = call;
+        claim.kind = call_kind::claim;
+        claim.claim_ttl = milliseconds(1000);
+        sent.epoch = to.state->handle(claim, m_now).epoch;
+    }
+    el::endpoint::reply reply = to.state->handle(sent, m_now);
+    bool wait = call.kind == call_kind::poll && reply.accepted &&
+                reply.reports.empty() && m_now < poll_until;
+    if (wait) {
+        constexpr milliseconds look_period{10};
+        after(look_period, again);
+        return;
+    }
+    respond(reply);
+}
+
+void fake_cell::send_to_store(entry_process& from,
+                              const el::store::call& call) {
+    std::string name = from.name;
+    std::uint64_t number = from.incarnation;
+    auto deliver = [this, name, number, call](const el::store::reply& reply) {
+        in_entry(name, number, [this, call, reply](entry_process& self) {
+            self.node.on_store_reply(call, reply, m_now);
+        });
+    };
+    after(delay(), [this, name, call, deliver] {
+        if (m_store_down || cut_between(name, "platform")) {
+            after(store_timeout, [deliver] { deliver({}); });
+            return;
+        }
+        el::store::reply reply = m_store.serve(call);
+        bool lost = call.kind == el::store::call_kind::write &&
+                    m_lose_store_replies > 0;
+        if (lost) {
+            m_lose_store_replies--;
+            after(store_timeout, [deliver] { deliver({}); });
+            return;
+        }
+        // A watch is answered within its wait; here after a part of it.
+        milliseconds wait = call.wait / 10;
+        after(delay() + wait, [deliver, reply] { deliver(reply); });
+    });
+}
+
+void fake_cell::submit(const std::string& entry,
+                       const el::admission::request& request,
+                       caller_events caller) {
+    note(request.id, "sent to " + entry + " mark " +
+                         std::to_string(static_cast<int>(request.attempt)));
+    after(delay(), [this, entry, request, caller = std::move(caller)] {
+        auto to = m_entries.find(entry);
+        if (to == m_entries.end()) {
+            return;
+        }
+        auto hand_in = [this, request, caller](entry_process& self) {
+            auto token = self.next_token++;
+            self.callers[token] = caller;
+            self.node.submit(request, token, m_now);
+        };
+        in_entry(entry, to->second->incarnation, hand_in);
+    });
+}
+
+void fake_cell::wait_for(const std::string& entry, const std::string& id,
+                         caller_events caller) {
+    auto to = m_entries.find(entry);
+    if (to == m_entries.end()) {
+        return;
+    }
+    in_entry(entry, to->second->incarnation,
+             [this, id, caller = std::move(caller)](entry_process& self) {
+                 auto token = self.next_token++;
+                 self.callers[token] = caller;
+                 self.node.wait_for(id, token, m_now);
+             });
+}
+
+void fake_cell::cancel(const std::string& entry, const std::string& id) {
+    auto to = m_entries.find(entry);
+    if (to != m_entries.end()) {
+        in_entry(entry, to->second->incarnation,
+                 [this, id](entry_process& self) {
+                     self.node.cancel(id, m_now);
+                 });
+    }
+}
+
+void fake_cell::roll_out(const std::string& entry, std::uint64_t version,
+                         std::function<void(base::result<void>)> done) {
+    nlohmann::json teams = nlohmann::json::array();
+    for (const char* name : {"doors", "office", "visitors"}) {
+        bool trial = std::string(name) == "visitors";
+        teams.push_back({{"name", name},
+                         {"tier", trial ? "trial" : "paying"},
+                         {"quota_slots", 1000}});
+    }
+    nlohmann::json text = {{"version", version}, {"teams", teams}};
+    auto authored =
+        el::bundle::author_bundle(text.dump(), "author", m_author.secret_key);
+    auto approved = el::bundle::approve_bundle(*authored, "approver",
+                                               m_approver.secret_key);
+    std::string envelope = el::bundle::serialize(*approved);
+    auto to = m_entries.find(entry);
+    if (to != m_entries.end()) {
+        in_entry(entry, to->second->incarnation,
+                 [this, envelope, done](entry_process& self) {
+                     self.node.roll_out(envelope, done, m_now);
+                 });
+    }
+}
+
+void fake_cell::kill_entry(const std::string& entry) {
+    note("", "kill " + entry);
+    m_entries.erase(entry);
+}
+
+void fake_cell::freeze_entry(const std::string& entry, milliseconds time) {
+    auto found = m_entries.find(entry);
+    if (found == m_entries.end() || found->second->frozen) {
+        return;
+    }
+    found->second->frozen = true;
+    note("", "freeze " + entry + " " + std::to_string(time.count()));
+    std::uint64_t number = found->second->incarnation;
+    after(time, [this, entry, number] {
+        auto again = m_entries.find(entry);
+        if (again == m_entries.end() ||
+            again->second->incarnation != number) {
+            return;
+        }
+        again->second->frozen = false;
+        auto waiting = std::move(again->second->thaw);
+        again->second->thaw.clear();
+        for (auto& work : waiting) {
+            work();
+        }
+    });
+}
+
+void fake_cell::drain_entry(const std::string& entry) {
+    note("", "drain " + entry);
+    auto found = m_entries.find(entry);
+    if (found != m_entries.end()) {
+        in_entry(entry, found->second->incarnation,
+                 [this](entry_process& self) { self.node.drain(m_now); });
+    }
+}
+
+void fake_cell::restart_endpoint(const std::string& endpoint,
+                                 milliseconds down) {
+    endpoint_process& at_process = *m_endpoints.at(endpoint);
+    if (!at_process.state || at_process.frozen) {
+        return;
+    }
+    note("", "restart " + endpoint + " " + std::to_string(down.count()));
+    at_process.state.reset();
+    at_process.boot = 0;
+    m_audit.on_endpoint_killed(endpoint);
+    after(down, [this, endpoint] { boot_endpoint(endpoint); });
+}
+
+void fake_cell::freeze_endpoint(const std::string& endpoint,
+                                milliseconds time) {
+    endpoint_process& at_process = *m_endpoints.at(endpoint);
+    if (!at_process.state || at_process.frozen) {
+        return;
+    }
+    at_process.frozen = true;
+    note("", "freeze " + endpoint + " " + std::to_string(time.count()));
+    after(time, [this, endpoint] {
+        endpoint_process& again = *m_endpoints.at(endpoint);
+        again.frozen = false;
+        again.state->advance(m_now);
+        auto waiting = std::move(again.thaw);
+        again.thaw.clear();
+        for (auto& work : waiting) {
+            work();
+        }
+    });
+}
+
+standins::endpoint::faults&
+fake_cell::endpoint_faults(const std::string& endpoint) {
+    return m_endpoints.at(endpoint)->state->fault_switches();
+}
+
+} // namespace test_support
--- /dev/null
+++ b/tests/support/random_run.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// One seeded run of a fake cell under load and faults.
+#pragma once
+
+#include "fake_cell.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace test_support {
+
+/// Kinds of fault that a run may bring about.
+struct fault_set {
+    bool entry_kills{true};
+    bool entry_freezes{true};
+    bool endpoint_restarts{true};
+    bool endpoint_freezes{true};
+    bool member_cuts{true};
+    bool domain_cuts{true};
+    bool endpoint_cuts{true};
+    bool store_faults{true};
+    bool late_calls{true};
+    bool planned_stops{true};
+    bool cancellations{true};
+};
+
+struct random_run_options {
+    std::uint64_t seed{1};
+    milliseconds load_time{40000};
+    milliseconds settle_time{60000};
+    cell_shape shape;
+    fault_set faults;
+    std::string trace;      ///< print what happens to this id
+    bool epoch_guard{true}; ///< off: endpoints take starts of any epoch
+};
+
+struct random_run_result {
+    std::vector<std::string> violations;
+    std::uint64_t steps{0};
+    std::size_t requests{0};
+    std::size_t unanswered{0}; ///< ids whose last sending heard nothing
+    std::size_t starts{0};
+    std::size_t completed{0};
+    std::size_t failed{0};
+    std::size_t not_run{0};
+    std::size_t unknown{0};
+    std::size_t jobs_accepted{0};
+    std::size_t jobs_ended{0};
+};
+
+[[nodiscard]] random_run_result
+run_randomly(const random_run_options& options);
+
+} // namespace test_support
