Say not_run only when it is proved for the id, not for one attempt

Change: an entry knows at which endpoint each task is open; a forward carries the last heartbeat heard from its receiver; an entry knows whether it is proved new; heartbeats say which members of the FD are heard and whether every endpoint is in their hands. Work that was stopped waits before it is queued again.

Ruled out: a clock comparison between members (drift), the VM list as proof (it lags and a cut FD may be off it).

--- a/include/eelgrasslever/dispatch/fleet.hpp
+++ b/include/eelgrasslever/dispatch/fleet.hpp
@@ -49,8 +49,8 @@
     void commit(const std::string& request_id, std::vector<local_task> tasks,
                 const std::vector<placement::assignment>& assignments);
 
-    /// Asks for a stop wherever the task is.
-    void stop(const std::string& task);
+    /// Asks for a stop of a task at one endpoint.
+    void stop(const std::string& endpoint, const std::string& task);
 
     void advance(base::instant now, std::vector<outgoing_call>& calls);
     void on_reply(const std::string& endpoint, const endpoint::call& call,
@@ -64,8 +64,6 @@
     sessions() const {
         return m_sessions;
     }
-    /// @return the endpoint where @p task is, or an empty string.
-    [[nodiscard]] std::string endpoint_of(const std::string& task) const;
     [[nodiscard]] fleet_totals totals() const;
     /// @return whether the endpoint is held and in the index for placement.
     [[nodiscard]] const placement::capacity_tree& index() const {
@@ -77,7 +75,6 @@
     void choose_victims(session& at, admission::reclaim_level level);
     void start_fitting_groups();
     [[nodiscard]] bool group_fits(const placed_group& group) const;
-    void absorb(session& at, std::size_t first_event);
     void learn(session& at, const event& ended, const local_task& task);
 
     base::instant m_now{}; ///< as of the last call that gave it
@@ -86,7 +83,6 @@
     placement::planner m_planner;
     placement::capacity_tree m_tree;
     std::map<std::string, std::unique_ptr<session>> m_sessions;
-    std::map<std::string, std::string> m_task_at; ///< task to endpoint
     std::map<std::string, placed_group> m_waiting_groups;
     std::vector<event> m_events;
     failure_rate m_failures;
--- a/include/eelgrasslever/membership/roster.hpp
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -42,7 +42,6 @@
     base::resources largest;
     std::int64_t capacity_slots{0};
     std::set<std::string> holdings;
-    std::set<std::string> reported_gone;
 };
 
 /// @return the VM name of a member id.
@@ -87,7 +86,10 @@
     [[nodiscard]] int share_count() const;
     /// @return this process's place among them, by id.
     [[nodiscard]] int share_index() const;
-    [[nodiscard]] std::vector<std::string> gone_here() const;
+    /// @return ids of the members of our FD that are heard, this one included.
+    [[nodiscard]] std::vector<std::string> alive_here(base::instant now) const;
+    /// @return whether the last `prove_gone` found every endpoint in safe hands.
+    [[nodiscard]] bool settled() const { return m_settled; }
     [[nodiscard]] const std::string& self_id() const { return m_self; }
     [[nodiscard]] const std::string& failure_domain() const { return m_fd; }
     /// Lowers the noted room of a peer after work was handed to it.
@@ -105,6 +107,7 @@
     std::string m_fd;
     roster_times m_times;
     std::map<std::string, member> m_members;
+    bool m_settled{false};
     std::set<std::string> m_listed_names;
     std::set<std::string> m_heard_names;
 };
--- a/include/eelgrasslever/node/book.hpp
+++ b/include/eelgrasslever/node/book.hpp
@@ -21,6 +21,7 @@
     placed, ///< at endpoints, or room is being made there
     remote, ///< another member runs it
     job,    ///< coordinated here, its tasks are entries of their own
+    held, ///< stopped for other work; waits before it is queued again
     answered,
 };
 
@@ -39,6 +40,7 @@
     admission::request request;
     bool has_request{false}; ///< false: adopted from an endpoint's inventory
     bool lookup{false};      ///< only asked about here, never submitted
+    bool seen_before{false}; ///< a lookup of what was answered here once
     stage at{stage::queued};
     base::instant received{};
     base::instant deadline{};
@@ -47,6 +49,11 @@
     bool admitted{false};     ///< checked against bundle, quota and queue
     bool forwarded_here{false};
     bool recorded{false};  ///< the journal holds its intent
+    /// Nothing sent before under this id can have run: the caller, the other
+    /// members or the journal say so. Only then may an answer be `not_run`.
+    bool proven_new{false};
+    bool in_doubt{false};  ///< another member's attempt ended in doubt
+    bool ran{false};       ///< an endpoint said that it started
     bool ever_sent{false}; ///< a start was sent to some endpoint
     bool cancelled{false};
     std::string parent_job;
@@ -57,7 +64,8 @@
     /// Until then a task of it may run under a lease that a member which says
     /// `unknown` has not yet heard of.
     base::instant doubt_until{};
-    std::set<std::string> open_tasks;
+    std::map<std::string, std::string> open_tasks; ///< task to endpoint
+    int times_stopped{0};
     task_tally tally;
     std::string result_body;
     std::string result_reason;
--- a/include/eelgrasslever/node/intake.hpp
+++ b/include/eelgrasslever/node/intake.hpp
@@ -15,8 +15,9 @@
     void submit(const admission::request& request, caller_token caller);
 
     /// A request that another member handed over.
+    /// @param current false where that member may have given this VM up since.
     void submit_forwarded(const admission::request& request,
-                          const std::string& member);
+                          const std::string& member, bool current);
 
     /// A task of a job that this VM coordinates.
     /// @param mark `retry` where another VM may have started it before.
@@ -40,6 +41,10 @@
     /// Puts an entry into the queue, or settles it where it can't be in time.
     void enqueue(const entry_ptr& item);
 
+    /// Queues work that was stopped for other work again, after a delay that
+    /// doubles each time, so that it is not started just to be stopped.
+    void hold(const entry_ptr& item);
+
     /// Called with what the other members said of a located entry.
     void on_located(const entry_ptr& item, wire::verdict found,
                     const std::string& home, bool local_doubt);
@@ -64,6 +69,7 @@
     void begin(const entry_ptr& item);
     void finish_lookup(const entry_ptr& item);
     void settle_overdue(const entry_ptr& item);
+    static void correct_not_run(const entry& item, base::answer& value);
     void wake(const entry_ptr& item);
     entry_ptr open_entry(const admission::request& request,
                          base::instant deadline);
--- a/include/eelgrasslever/node/peering.hpp
+++ b/include/eelgrasslever/node/peering.hpp
@@ -26,6 +26,9 @@
     void send_holdings(const std::string& member);
     void update_ownership();
     void on_doubtful_past();
+    /// @return whether the heartbeat @p sequence was sent so lately that no
+    /// peer that heard it can have proved this VM gone.
+    [[nodiscard]] bool sent_lately(std::uint64_t sequence) const;
 
     context& m_context;
     base::instant m_next_beat{};
@@ -36,6 +39,7 @@
     std::set<std::string> m_last_holdings;
     std::uint64_t m_holdings_revision{0};
     bool m_said_left{false};
+    std::map<std::uint64_t, base::instant> m_sent_at; ///< by sequence
 };
 
 } // namespace eelgrasslever::node
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -28,7 +28,10 @@
     std::int64_t free_slots{0};
     base::resources largest;        ///< of one endpoint that the sender holds
     std::int64_t capacity_slots{0}; ///< of all endpoints that it holds
-    std::vector<std::string> gone;  ///< members of this FD proved fenced
+    std::vector<std::string> alive; ///< members of this FD that it hears
+    /// Every endpoint of this FD is held by the sender or by one in `alive`, so
+    /// no other member of the FD can start anything.
+    bool settled{false};
 };
 
 /// The endpoints whose claims the sender holds.
@@ -65,12 +68,19 @@
     std::uint64_t query{0};
     std::string request_id;
     verdict found{verdict::unknown};
+    bool ran_before{false}; ///< with `unknown`: it ran there and ended in doubt
+};
+
+/// What became of a request that the receiver handed over or attached to.
+enum class settled_kind : std::uint8_t {
+    answered, ///< the answer is final
+    stopped,  ///< it was stopped before its end; it may run again
+    refused,  ///< it was never taken; it may run elsewhere
 };
 
-/// The end of a request that the receiver attached to.
 struct settled {
     std::string request_id;
-    bool stopped{false}; ///< it was stopped before its end; it may run again
+    settled_kind kind{settled_kind::answered};
     base::answer answer;
 };
 
@@ -79,6 +89,9 @@
     std::string request_id;
     std::string request_text;
     base::milliseconds remaining{0}; ///< until the deadline
+    /// Last heartbeat heard from the receiver. One that was sent too long ago
+    /// tells the receiver that the sender may think it gone by now.
+    std::uint64_t echo{0};
 };
 
 /// Takes a request back.
--- a/include/eelgrasslever/wire/schema/peer_generated.h
+++ b/include/eelgrasslever/wire/schema/peer_generated.h
@@ -224,7 +224,8 @@
     VT_FREE_SLOTS = 24,
     VT_LARGEST = 26,
     VT_CAPACITY_SLOTS = 28,
-    VT_GONE = 30
+    VT_ALIVE = 30,
+    VT_SETTLED = 32
   };
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
@@ -265,8 +266,11 @@
   int64_t capacity_slots() const {
     return GetField<int64_t>(VT_CAPACITY_SLOTS, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE);
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *alive() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ALIVE);
+  }
+  bool settled() const {
+    return GetField<uint8_t>(VT_SETTLED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -287,9 +291,10 @@
            VerifyOffset(verifier, VT_LARGEST) &&
            verifier.VerifyTable(largest()) &&
            VerifyField<int64_t>(verifier, VT_CAPACITY_SLOTS, 8) &&
-           VerifyOffset(verifier, VT_GONE) &&
-           verifier.VerifyVector(gone()) &&
-           verifier.VerifyVectorOfStrings(gone()) &&
+           VerifyOffset(verifier, VT_ALIVE) &&
+           verifier.VerifyVector(alive()) &&
+           verifier.VerifyVectorOfStrings(alive()) &&
+           VerifyField<uint8_t>(verifier, VT_SETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -337,8 +342,11 @@
   void add_capacity_slots(int64_t capacity_slots) {
     fbb_.AddElement<int64_t>(Heartbeat::VT_CAPACITY_SLOTS, capacity_slots, 0);
   }
-  void add_gone(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone) {
-    fbb_.AddOffset(Heartbeat::VT_GONE, gone);
+  void add_alive(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> alive) {
+    fbb_.AddOffset(Heartbeat::VT_ALIVE, alive);
+  }
+  void add_settled(bool settled) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_SETTLED, static_cast<uint8_t>(settled), 0);
   }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -366,7 +374,8 @@
     int64_t free_slots = 0,
     flatbuffers::Offset<eelgrasslever::wire::schema::Resources> largest = 0,
     int64_t capacity_slots = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> alive = 0,
+    bool settled = false) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_capacity_slots(capacity_slots);
   builder_.add_free_slots(free_slots);
@@ -374,11 +383,12 @@
   builder_.add_bundle_version(bundle_version);
   builder_.add_echo(echo);
   builder_.add_sequence(sequence);
-  builder_.add_gone(gone);
+  builder_.add_alive(alive);
   builder_.add_largest(largest);
   builder_.add_peer_address(peer_address);
   builder_.add_http_address(http_address);
   builder_.add_failure_domain(failure_domain);
+  builder_.add_settled(settled);
   builder_.add_platform_reached(platform_reached);
   builder_.add_left(left);
   builder_.add_draining(draining);
@@ -400,11 +410,12 @@
     int64_t free_slots = 0,
     flatbuffers::Offset<eelgrasslever::wire::schema::Resources> largest = 0,
     int64_t capacity_slots = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *alive = nullptr,
+    bool settled = false) {
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto http_address__ = http_address ? _fbb.CreateString(http_address) : 0;
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
-  auto gone__ = gone ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone) : 0;
+  auto alive__ = alive ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*alive) : 0;
   return eelgrasslever::wire::schema::CreateHeartbeat(
       _fbb,
       failure_domain__,
@@ -420,7 +431,8 @@
       free_slots,
       largest,
       capacity_slots,
-      gone__);
+      alive__,
+      settled);
 }
 
 struct Holdings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -654,7 +666,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_QUERY = 4,
     VT_REQUEST_ID = 6,
-    VT_VERDICT = 8
+    VT_VERDICT = 8,
+    VT_RAN_BEFORE = 10
   };
   uint64_t query() const {
     return GetField<uint64_t>(VT_QUERY, 0);
@@ -665,12 +678,16 @@
   uint8_t verdict() const {
     return GetField<uint8_t>(VT_VERDICT, 0);
   }
+  bool ran_before() const {
+    return GetField<uint8_t>(VT_RAN_BEFORE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUERY, 8) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RAN_BEFORE, 1) &&
            verifier.EndTable();
   }
 };
@@ -688,6 +705,9 @@
   void add_verdict(uint8_t verdict) {
     fbb_.AddElement<uint8_t>(Located::VT_VERDICT, verdict, 0);
   }
+  void add_ran_before(bool ran_before) {
+    fbb_.AddElement<uint8_t>(Located::VT_RAN_BEFORE, static_cast<uint8_t>(ran_before), 0);
+  }
   explicit LocatedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -703,10 +723,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t query = 0,
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
-    uint8_t verdict = 0) {
+    uint8_t verdict = 0,
+    bool ran_before = false) {
   LocatedBuilder builder_(_fbb);
   builder_.add_query(query);
   builder_.add_request_id(request_id);
+  builder_.add_ran_before(ran_before);
   builder_.add_verdict(verdict);
   return builder_.Finish();
 }
@@ -715,20 +737,22 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t query = 0,
     const char *request_id = nullptr,
-    uint8_t verdict = 0) {
+    uint8_t verdict = 0,
+    bool ran_before = false) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   return eelgrasslever::wire::schema::CreateLocated(
       _fbb,
       query,
       request_id__,
-      verdict);
+      verdict,
+      ran_before);
 }
 
 struct Settled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SettledBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST_ID = 4,
-    VT_STOPPED = 6,
+    VT_KIND = 6,
     VT_OUTCOME = 8,
     VT_BODY = 10,
     VT_DETAIL = 12,
@@ -740,8 +764,8 @@
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
   }
-  bool stopped() const {
-    return GetField<uint8_t>(VT_STOPPED, 0) != 0;
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
   }
   uint8_t outcome() const {
     return GetField<uint8_t>(VT_OUTCOME, 0);
@@ -768,7 +792,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
-           VerifyField<uint8_t>(verifier, VT_STOPPED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
@@ -790,8 +814,8 @@
   void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
     fbb_.AddOffset(Settled::VT_REQUEST_ID, request_id);
   }
-  void add_stopped(bool stopped) {
-    fbb_.AddElement<uint8_t>(Settled::VT_STOPPED, static_cast<uint8_t>(stopped), 0);
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(Settled::VT_KIND, kind, 0);
   }
   void add_outcome(uint8_t outcome) {
     fbb_.AddElement<uint8_t>(Settled::VT_OUTCOME, outcome, 0);
@@ -828,7 +852,7 @@
 inline flatbuffers::Offset<Settled> CreateSettled(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
-    bool stopped = false,
+    uint8_t kind = 0,
     uint8_t outcome = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0,
     flatbuffers::Offset<flatbuffers::String> detail = 0,
@@ -845,14 +869,14 @@
   builder_.add_request_id(request_id);
   builder_.add_rejected(rejected);
   builder_.add_outcome(outcome);
-  builder_.add_stopped(stopped);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Settled> CreateSettledDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request_id = nullptr,
-    bool stopped = false,
+    uint8_t kind = 0,
     uint8_t outcome = 0,
     const char *body = nullptr,
     const char *detail = nullptr,
@@ -867,7 +891,7 @@
   return eelgrasslever::wire::schema::CreateSettled(
       _fbb,
       request_id__,
-      stopped,
+      kind,
       outcome,
       body__,
       detail__,
@@ -882,7 +906,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST_ID = 4,
     VT_REQUEST_TEXT = 6,
-    VT_REMAINING_MS = 8
+    VT_REMAINING_MS = 8,
+    VT_ECHO = 10
   };
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
@@ -893,6 +918,9 @@
   int64_t remaining_ms() const {
     return GetField<int64_t>(VT_REMAINING_MS, 0);
   }
+  uint64_t echo() const {
+    return GetField<uint64_t>(VT_ECHO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
@@ -900,6 +928,7 @@
            VerifyOffset(verifier, VT_REQUEST_TEXT) &&
            verifier.VerifyString(request_text()) &&
            VerifyField<int64_t>(verifier, VT_REMAINING_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            verifier.EndTable();
   }
 };
@@ -917,6 +946,9 @@
   void add_remaining_ms(int64_t remaining_ms) {
     fbb_.AddElement<int64_t>(Forward::VT_REMAINING_MS, remaining_ms, 0);
   }
+  void add_echo(uint64_t echo) {
+    fbb_.AddElement<uint64_t>(Forward::VT_ECHO, echo, 0);
+  }
   explicit ForwardBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -932,8 +964,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
     flatbuffers::Offset<flatbuffers::String> request_text = 0,
-    int64_t remaining_ms = 0) {
+    int64_t remaining_ms = 0,
+    uint64_t echo = 0) {
   ForwardBuilder builder_(_fbb);
+  builder_.add_echo(echo);
   builder_.add_remaining_ms(remaining_ms);
   builder_.add_request_text(request_text);
   builder_.add_request_id(request_id);
@@ -944,14 +978,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *request_id = nullptr,
     const char *request_text = nullptr,
-    int64_t remaining_ms = 0) {
+    int64_t remaining_ms = 0,
+    uint64_t echo = 0) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto request_text__ = request_text ? _fbb.CreateString(request_text) : 0;
   return eelgrasslever::wire::schema::CreateForward(
       _fbb,
       request_id__,
       request_text__,
-      remaining_ms);
+      remaining_ms,
+      echo);
 }
 
 struct Cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/dispatch/fleet.cpp
+++ b/src/dispatch/fleet.cpp
@@ -74,7 +74,6 @@
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         session& at = *m_sessions.at(assignments[i].endpoint);
         std::string id = tasks[i].spec.id;
-        m_task_at[id] = at.name();
         group.tasks.push_back(id);
         group.endpoints.push_back(at.name());
         at.reserve(std::move(tasks[i]));
@@ -109,20 +108,18 @@
                 return;
             }
             over -= at.tasks().at(id).spec.need;
-            stop(id);
+            at.stop(id, m_events);
         }
     }
 }
 
-void fleet::stop(const std::string& task) {
-    auto found = m_task_at.find(task);
-    if (found == m_task_at.end()) {
+void fleet::stop(const std::string& endpoint, const std::string& task) {
+    auto found = m_sessions.find(endpoint);
+    if (found == m_sessions.end()) {
         return;
     }
-    session& at = *m_sessions.at(found->second);
-    std::size_t first = m_events.size();
-    at.stop(task, m_events);
-    absorb(at, first);
+    found->second->stop(task, m_events);
+    refresh(*found->second);
 }
 
 bool fleet::group_fits(const placed_group& group) const {
@@ -198,35 +195,11 @@
     }
 }
 
-// Keeps the task index and the waiting groups in step with a session's events.
-void fleet::absorb(session& at, std::size_t first_event) {
-    for (std::size_t i = first_event; i < m_events.size(); ++i) {
-        const event& item = m_events[i];
-        switch (item.kind) {
-        case event_kind::adopted:
-            m_task_at[item.task] = at.name();
-            break;
-        case event_kind::started:
-        case event_kind::gained:
-        case event_kind::dropped:
-            break;
-        case event_kind::ended:
-        case event_kind::not_started:
-        case event_kind::lost:
-        case event_kind::moved:
-            m_task_at.erase(item.task);
-            break;
-        }
-    }
-    refresh(at);
-}
-
 void fleet::advance(base::instant now, std::vector<outgoing_call>& calls) {
     m_now = now;
     for (auto& [name, at] : m_sessions) {
-        std::size_t first = m_events.size();
         at->advance(now, calls, m_events);
-        absorb(*at, first);
+        refresh(*at);
     }
 }
 
@@ -253,7 +226,7 @@
             learn(at, m_events[i], task->second);
         }
     }
-    absorb(at, first);
+    refresh(at);
     start_fitting_groups();
 }
 
@@ -282,11 +255,6 @@
     return found == m_sessions.end() ? nullptr : found->second.get();
 }
 
-std::string fleet::endpoint_of(const std::string& task) const {
-    auto found = m_task_at.find(task);
-    return found == m_task_at.end() ? std::string() : found->second;
-}
-
 fleet_totals fleet::totals() const {
     fleet_totals out;
     for (const auto& [name, at] : m_sessions) {
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -44,16 +44,14 @@
     who.platform_reached = beat.platform_reached;
     who.largest = beat.largest;
     who.capacity_slots = beat.capacity_slots;
-    who.reported_gone = {beat.gone.begin(), beat.gone.end()};
     m_heard_names.insert(who.name);
     // Members of another FD are proved gone by that FD alone.
-    for (const std::string& id : beat.gone) {
-        auto other = m_members.find(id);
-        bool theirs = other != m_members.end() &&
-                      other->second.failure_domain == beat.failure_domain &&
-                      beat.failure_domain != m_fd;
-        if (theirs && !heard(other->second, now)) {
-            other->second.gone = true;
+    if (beat.settled && beat.failure_domain != m_fd) {
+        std::set<std::string> alive(beat.alive.begin(), beat.alive.end());
+        for (auto& [id, other] : m_members) {
+            bool fenced = other.failure_domain == beat.failure_domain &&
+                          !heard(other, now) && !alive.contains(id);
+            other.gone = other.gone || fenced;
         }
     }
     return back;
@@ -113,6 +111,7 @@
     bool all_fenced =
         !endpoints.empty() && std::includes(fenced.begin(), fenced.end(),
                                             endpoints.begin(), endpoints.end());
+    m_settled = all_fenced;
     std::vector<std::string> out;
     for (auto& [id, who] : m_members) {
         if (who.gone || who.left || heard(who, now)) {
@@ -190,10 +189,10 @@
     return out;
 }
 
-std::vector<std::string> roster::gone_here() const {
-    std::vector<std::string> out;
+std::vector<std::string> roster::alive_here(base::instant now) const {
+    std::vector<std::string> out{m_self};
     for (const auto& [id, who] : m_members) {
-        if (who.failure_domain == m_fd && (who.gone || who.left)) {
+        if (who.failure_domain == m_fd && heard(who, now)) {
             out.push_back(id);
         }
     }
--- a/src/node/book.cpp
+++ b/src/node/book.cpp
@@ -22,6 +22,8 @@
         return "remote";
     case stage::job:
         return "job";
+    case stage::held:
+        return "held";
     case stage::answered:
         return "answered";
     }
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds relocate_period{300};
 constexpr milliseconds lookup_limit{30 * 1000};
 constexpr milliseconds home_check_period{1000};
+constexpr milliseconds shortest_hold{100};
+constexpr int most_hold_doublings = 6;
 constexpr milliseconds shortest_retry_after{200};
 constexpr milliseconds retry_after_no_bundle{1000};
 constexpr milliseconds retry_after_doubt{2000};
@@ -180,18 +182,21 @@
 entry_ptr intake::open_entry(const admission::request& request,
                              base::instant deadline) {
     entry_ptr before = m_context.book.find(request.id);
-    bool seen = before && !before->lookup;
+    bool seen = before && (!before->lookup || before->seen_before);
     entry_ptr item = m_context.book.add(request.id);
     if (before && before->lookup) {
         item->callers = before->callers;
     }
     item->request = request;
     item->has_request = true;
+    item->ever_sent = seen && before->ever_sent;
     item->received = m_context.now;
     item->deadline = deadline;
+    item->ran = seen && before->ran;
     // An id that was answered here before is a retry, whatever its mark.
     item->needs_locate = seen || request.attempt != attempt_mark::first ||
                          m_context.locator->asked_by_other(request.id);
+    item->proven_new = !item->needs_locate;
     wake_at(request.id, deadline);
     return item;
 }
@@ -247,7 +252,7 @@
 }
 
 void intake::submit_forwarded(const admission::request& request,
-                              const std::string& member) {
+                              const std::string& member, bool current) {
     entry_ptr known = m_context.book.find(request.id);
     if (known && known->lookup) {
         known = nullptr;
@@ -258,18 +263,22 @@
     }
     if (known && known->final_answer.result != outcome::not_run) {
         m_context.out.send_peer(
-            member, wire::settled{request.id, false, known->final_answer});
+            member, wire::settled{request.id,
+                                  wire::settled_kind::answered,
+                                  known->final_answer});
         return;
     }
     auto refused = refusal(request);
     if (refused) {
-        refused->rejected = false;
-        m_context.out.send_peer(member,
-                                wire::settled{request.id, false, *refused});
+        m_context.out.send_peer(
+            member, wire::settled{request.id, wire::settled_kind::refused,
+                                  *refused});
         return;
     }
     entry_ptr item = open_entry(request, m_context.now + request.timeout);
-    item->needs_locate = m_context.locator->asked_by_other(request.id);
+    item->needs_locate =
+        !current || m_context.locator->asked_by_other(request.id);
+    item->proven_new = current;
     item->admitted = true;
     item->forwarded_here = true;
     item->attached_members.insert(member);
@@ -305,21 +314,32 @@
 
 void intake::wait_for(const std::string& id, caller_token caller) {
     entry_ptr known = m_context.book.find(id);
-    if (!known) {
-        known = m_context.book.add(id);
-        known->lookup = true;
-        known->received = m_context.now;
-        known->deadline = m_context.now + lookup_limit;
+    bool answered = known && known->at == stage::answered;
+    if (known && !answered) {
         known->callers.insert(caller);
-        wake_at(id, known->deadline);
-        m_context.locator->start(known);
         return;
     }
-    if (known->at == stage::answered) {
+    bool final_here =
+        answered && (known->final_answer.result == outcome::completed ||
+                     known->final_answer.result == outcome::failed);
+    if (final_here) {
         m_context.out.answer(caller, id, known->final_answer);
         return;
     }
-    known->callers.insert(caller);
+    // After an answer that left it open, another member may have run it.
+    entry_ptr question = m_context.book.add(id);
+    question->lookup = true;
+    question->seen_before = answered;
+    question->ever_sent = answered && known->ever_sent;
+    question->ran = answered && known->ran;
+    if (answered) {
+        question->final_answer = known->final_answer;
+    }
+    question->received = m_context.now;
+    question->deadline = m_context.now + lookup_limit;
+    question->callers.insert(caller);
+    wake_at(id, question->deadline);
+    m_context.locator->start(question);
 }
 
 void intake::forget_caller(const std::string& id, caller_token caller) {
@@ -332,7 +352,7 @@
 void intake::enqueue(const entry_ptr& item) {
     if (item->cancelled) {
         settle(item,
-               make_answer(item->ever_sent ? outcome::failed : outcome::not_run,
+               make_answer(outcome::not_run,
                            "cancelled"));
         return;
     }
@@ -350,7 +370,7 @@
             : nullptr;
     if (team == nullptr) {
         settle(item,
-               make_answer(item->ever_sent ? outcome::failed : outcome::not_run,
+               make_answer(outcome::not_run,
                            "the team is not in the bundle in force"));
         return;
     }
@@ -375,6 +395,14 @@
     m_context.queue.push(std::move(work));
 }
 
+void intake::hold(const entry_ptr& item) {
+    int doublings = std::min(item->times_stopped, most_hold_doublings);
+    item->times_stopped++;
+    item->at = stage::held;
+    item->next_check = m_context.now + shortest_hold * (1 << doublings);
+    wake_at(item->request.id, item->next_check);
+}
+
 void intake::on_located(const entry_ptr& item, wire::verdict found,
                         const std::string& home, bool local_doubt) {
     if (item->at != stage::locating) {
@@ -393,6 +421,7 @@
     }
     if (found == wire::verdict::unknown && m_context.now >= item->doubt_until) {
         item->needs_locate = false;
+        item->proven_new = item->proven_new || !item->in_doubt;
         bool once = item->has_request && !item->request.repeatable;
         if (once && item->ever_sent) {
             settle(item, make_answer(outcome::unknown,
@@ -430,6 +459,8 @@
             if (!reached) {
                 value.detail = "the platform's store can't be asked";
                 value.retry_after = retry_after_doubt;
+            } else if (present == nullptr && item->seen_before) {
+                value = item->final_answer;
             } else if (present != nullptr && present->final_answer) {
                 value = *present->final_answer;
             } else if (present != nullptr) {
@@ -441,12 +472,28 @@
         });
 }
 
+// `not_run` is never a guess.
+void intake::correct_not_run(const entry& item, base::answer& value) {
+    if (item.ran) {
+        value.result = outcome::failed;
+        value.detail += "; it had been started before";
+        return;
+    }
+    if (item.ever_sent || !item.proven_new) {
+        value.result = outcome::unknown;
+        value.detail += "; an earlier attempt may have run";
+    }
+}
+
 void intake::settle(const entry_ptr& item, base::answer value) {
     if (item->at == stage::answered) {
         return;
     }
     const std::string id = item->request.id;
     value.bundle_version = m_context.bundle_version();
+    if (value.result == outcome::not_run) {
+        correct_not_run(*item, value);
+    }
     m_context.queue.remove(id);
     if (item->charged_slots > 0) {
         m_context.queue.give_back(item->request.team, item->charged_slots);
@@ -466,7 +513,8 @@
     }
     item->callers.clear();
     for (const std::string& member : item->attached_members) {
-        m_context.out.send_peer(member, wire::settled{id, false, value});
+        m_context.out.send_peer(member, wire::settled{id, wire::settled_kind::answered,
+                                                value});
     }
     item->attached_members.clear();
     if (item->recorded) {
@@ -489,9 +537,10 @@
     item->cancelled = true;
     switch (item->at) {
     case stage::queued:
+    case stage::held:
     case stage::recording:
         settle(item,
-               make_answer(item->ever_sent ? outcome::failed : outcome::not_run,
+               make_answer(outcome::not_run,
                            "cancelled"));
         return;
     case stage::placed:
@@ -545,6 +594,10 @@
         settle_overdue(item);
         return;
     }
+    if (item->at == stage::held && m_context.now >= item->next_check) {
+        enqueue(item);
+        return;
+    }
     bool waits = item->at == stage::locating || item->at == stage::remote;
     if (!waits || m_context.now < item->next_check) {
         return;
@@ -568,13 +621,8 @@
     milliseconds again = at_least_shortest(expected_wait(0));
     switch (item->at) {
     case stage::queued:
+    case stage::held:
     case stage::recording:
-        if (item->ever_sent) {
-            settle(item, make_answer(outcome::failed,
-                                     "stopped for other work and not resumed "
-                                     "before the deadline"));
-            return;
-        }
         settle(item, make_answer(outcome::not_run,
                                  "no room before the deadline", again));
         return;
@@ -590,7 +638,7 @@
         if (item->at == stage::answered) {
             return;
         }
-        bool sure = item->ever_sent && item->request.repeatable;
+        bool sure = item->ran && item->request.repeatable;
         settle(item, make_answer(sure ? outcome::failed : outcome::unknown,
                                  "the deadline passed while it ran"));
         return;
--- a/src/node/locator.cpp
+++ b/src/node/locator.cpp
@@ -26,6 +26,12 @@
     return !again;
 }
 
+bool may_have_run(const entry& item) {
+    bool open_answer = item.at == stage::answered &&
+                       item.final_answer.result == base::outcome::unknown;
+    return item.ever_sent || item.in_doubt || open_answer;
+}
+
 } // namespace
 
 void locator::start(const entry_ptr& item) {
@@ -85,7 +91,7 @@
 
 void locator::on_locate(const std::string& from, const wire::locate& question) {
     const std::string& id = question.request_id;
-    wire::located reply{question.query, id, wire::verdict::unknown};
+    wire::located reply{question.query, id, wire::verdict::unknown, false};
     entry_ptr item = m_context.book.find(id);
     bool known = item && worth_attaching(*item);
     bool gives_way = known && item->at == stage::locating &&
@@ -97,7 +103,8 @@
         if (item->at == stage::answered) {
             m_context.out.send_peer(from, reply);
             m_context.out.send_peer(
-                from, wire::settled{id, false, item->final_answer});
+                from, wire::settled{id, wire::settled_kind::answered,
+                                    item->final_answer});
             return;
         }
         if (question.attach) {
@@ -116,6 +123,7 @@
     if (silent_member || m_context.book.has_open_tasks_under(id)) {
         reply.found = wire::verdict::undecided;
     }
+    reply.ran_before = item && may_have_run(*item);
     m_context.out.send_peer(from, reply);
 }
 
@@ -125,6 +133,11 @@
         found->second.waiting.erase(from) == 0) {
         return;
     }
+    entry_ptr item = m_context.book.find(reply.request_id);
+    if (item && reply.ran_before) {
+        item->in_doubt = true;
+        item->proven_new = false;
+    }
     if (reply.found == wire::verdict::mine) {
         finish(reply.request_id, wire::verdict::mine, from);
         return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -188,8 +188,8 @@
     }
     case stage::placed: {
         std::string where;
-        for (const std::string& task : item->open_tasks) {
-            where += " " + m_context.fleet.endpoint_of(task);
+        for (const auto& [task, endpoint] : item->open_tasks) {
+            where += " " + endpoint;
         }
         return out + ": at" + where;
     }
@@ -197,6 +197,9 @@
         return out + ": at entry VM " + item->home;
     case stage::job:
         return out + ": " + m_jobs.progress(id);
+    case stage::held:
+        return out + ": stopped " + std::to_string(item->times_stopped) +
+               " times for other work; is queued again soon";
     case stage::answered:
         return out + ": " + base::to_string(item->final_answer.result) + " " +
                item->final_answer.detail;
--- a/src/node/peering.cpp
+++ b/src/node/peering.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr base::milliseconds member_memory{600 * 1000};
+constexpr std::size_t remembered_beats = 64;
 
 } // namespace
 
@@ -37,7 +38,8 @@
         spare ? totals.capacity.slots - totals.committed.slots : 0;
     beat.largest = totals.largest;
     beat.capacity_slots = totals.capacity.slots;
-    beat.gone = m_context.roster.gone_here();
+    beat.alive = m_context.roster.alive_here(m_context.now);
+    beat.settled = m_context.roster.settled();
     return beat;
 }
 
@@ -103,21 +105,23 @@
     if (!final_here && !from_home) {
         return;
     }
-    bool again = ended.stopped || ended.answer.result == base::outcome::not_run;
+    bool stopped = ended.kind == wire::settled_kind::stopped;
+    bool again = ended.kind != wire::settled_kind::answered;
     if (!again || !item->has_request) {
         m_context.intake->settle(item, ended.answer);
         return;
     }
-    if (ended.stopped && !item->request.repeatable) {
+    if (stopped && !item->request.repeatable) {
         m_context.intake->settle(
             item, make_answer(base::outcome::failed, "it was stopped"));
         return;
     }
-    if (ended.stopped) {
+    if (stopped) {
+        item->ran = true;
         item->ever_sent = true;
     }
     item->forwarded_here = true; // It is not handed over a second time.
-    item->needs_locate = item->needs_locate || ended.stopped;
+    item->needs_locate = item->needs_locate || stopped;
     m_context.intake->enqueue(item);
 }
 
@@ -133,7 +137,15 @@
         return;
     }
     request->timeout = work.remaining;
-    m_context.intake->submit_forwarded(*request, from);
+    m_context.intake->submit_forwarded(*request, from,
+                                       sent_lately(work.echo));
+}
+
+bool peering::sent_lately(std::uint64_t sequence) const {
+    auto found = m_sent_at.find(sequence);
+    return found != m_sent_at.end() &&
+           m_context.now - found->second <
+               m_context.config.roster_times.suspect_after;
 }
 
 void peering::send_holdings(const std::string& member) {
@@ -197,6 +209,10 @@
     }
     m_next_beat = m_context.now + m_context.config.heartbeat_period;
     m_sequence++;
+    m_sent_at[m_sequence] = m_context.now;
+    while (m_sent_at.size() > remembered_beats) {
+        m_sent_at.erase(m_sent_at.begin());
+    }
     for (const auto& [id, who] : m_context.roster.members()) {
         if (!who.left) {
             m_context.out.send_peer(id, make_heartbeat(id));
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -106,6 +106,7 @@
                                 item->received, m_context.now});
         }
         item->recorded = true;
+        item->proven_new = true;
         item->needs_locate = false;
         if (!m_context.intake->admit(item)) {
             return;
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -115,7 +115,7 @@
         task.reclaimed_as = request.repeatable
                                 ? kind.reclaimed_as(team.service_tier)
                                 : admission::reclaim_level::none;
-        item->open_tasks.insert(id);
+        item->open_tasks[id] = plan[tasks.size()].endpoint;
         tasks.push_back(std::move(task));
     }
     item->at = stage::placed;
@@ -165,6 +165,7 @@
     message.request_id = item->request.id;
     message.request_text = admission::to_json_object(item->request).dump();
     message.remaining = item->deadline - m_context.now;
+    message.echo = best->last_sequence;
     item->at = stage::remote;
     item->home = best->id;
     item->next_check = m_context.now + home_check_period;
@@ -177,8 +178,8 @@
 
 void runner::stop_tasks(const entry_ptr& item) {
     auto open = item->open_tasks;
-    for (const std::string& task : open) {
-        m_context.fleet.stop(task);
+    for (const auto& [task, endpoint] : open) {
+        m_context.fleet.stop(endpoint, task);
     }
     absorb_events();
 }
@@ -216,7 +217,19 @@
         on_orphan(event);
         return;
     }
+    if (item->open_tasks.at(event.task) != event.endpoint) {
+        // An old ending of the same id, from another endpoint's inventory; or
+        // a second run, which must not go on.
+        if (event.kind == event_kind::adopted) {
+            m_context.out.log({"second_run_stopped",
+                               {{"id", event.task},
+                                {"endpoint", event.endpoint}}});
+            m_context.fleet.stop(event.endpoint, event.task);
+        }
+        return;
+    }
     if (event.kind == event_kind::started) {
+        item->ran = true;
         item->ever_sent = true;
         return;
     }
@@ -243,8 +256,9 @@
             return;
         }
         item->at = stage::placed;
+        item->ran = true;
         item->ever_sent = true;
-        item->open_tasks.insert(event.task);
+        item->open_tasks[event.task] = event.endpoint;
         item->placed_at = m_context.now;
         m_context.out.log({"task_adopted",
                            {{"id", event.task}, {"endpoint", event.endpoint}}});
@@ -252,7 +266,7 @@
             admission::find_policy(event.report.kind);
         if (kind != nullptr && kind->all_at_once() && !item->has_request) {
             // Its siblings may be gone; the job starts again as a whole.
-            m_context.fleet.stop(event.task);
+            m_context.fleet.stop(event.endpoint, event.task);
         }
         return;
     }
@@ -289,6 +303,7 @@
     bool gang = item->request.tasks > 1;
     switch (event.kind) {
     case event_kind::ended:
+        item->ran = true;
         item->ever_sent = true;
         item->ran_at = event.endpoint;
         if (event.report.state == task_state::completed) {
@@ -328,8 +343,8 @@
                  event.report.state == task_state::completed;
     if (gang && !whole && !item->open_tasks.empty()) {
         // The siblings can't go on without it.
-        for (const std::string& sibling : item->open_tasks) {
-            m_context.fleet.stop(sibling);
+        for (const auto& [sibling, endpoint] : item->open_tasks) {
+            m_context.fleet.stop(endpoint, sibling);
         }
         return;
     }
@@ -354,7 +369,7 @@
         for (const std::string& member : item->attached_members) {
             m_context.out.send_peer(
                 member,
-                wire::settled{item->request.id, true,
+                wire::settled{item->request.id, wire::settled_kind::stopped,
                               make_answer(base::outcome::unknown, "stopped")});
         }
         m_context.book.erase(item->request.id);
@@ -387,6 +402,10 @@
                               "it was stopped: " + item->result_reason));
         return;
     }
+    if (tally.stopped > 0 && !item->cancelled) {
+        m_context.intake->hold(item);
+        return;
+    }
     m_context.intake->enqueue(item);
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -23,11 +23,12 @@
     auto fd = to.CreateString(in.failure_domain);
     auto http = to.CreateString(in.http_address);
     auto peer = to.CreateString(in.peer_address);
-    auto gone = to.CreateVectorOfStrings(in.gone);
+    auto alive = to.CreateVectorOfStrings(in.alive);
     auto out = schema::CreateHeartbeat(
         to, fd, http, peer, in.sequence, in.echo, in.draining, in.left,
         in.bundle_version, in.list_version, in.platform_reached, in.free_slots,
-        largest, in.capacity_slots, gone);
+        largest, in.capacity_slots, alive,
+        in.settled);
     return {schema::Content_Heartbeat, out.Union()};
 }
 
@@ -53,7 +54,7 @@
 packed pack(FlatBufferBuilder& to, const located& in) {
     auto id = to.CreateString(in.request_id);
     auto found = static_cast<std::uint8_t>(in.found);
-    auto out = schema::CreateLocated(to, in.query, id, found);
+    auto out = schema::CreateLocated(to, in.query, id, found, in.ran_before);
     return {schema::Content_Located, out.Union()};
 }
 
@@ -62,10 +63,11 @@
     auto body = to.CreateString(in.answer.body);
     auto detail = to.CreateString(in.answer.detail);
     auto ran_at = to.CreateString(in.answer.ran_at);
+    auto kind = static_cast<std::uint8_t>(in.kind);
     auto result = static_cast<std::uint8_t>(in.answer.result);
     std::int64_t retry =
         in.answer.retry_after ? in.answer.retry_after->count() : -1;
-    auto out = schema::CreateSettled(to, id, in.stopped, result, body, detail,
+    auto out = schema::CreateSettled(to, id, kind, result, body, detail,
                                      retry, ran_at, in.answer.bundle_version,
                                      in.answer.rejected);
     return {schema::Content_Settled, out.Union()};
@@ -74,7 +76,8 @@
 packed pack(FlatBufferBuilder& to, const forward& in) {
     auto id = to.CreateString(in.request_id);
     auto text = to.CreateString(in.request_text);
-    auto out = schema::CreateForward(to, id, text, in.remaining.count());
+    auto out = schema::CreateForward(to, id, text,
+                                     in.remaining.count(), in.echo);
     return {schema::Content_Forward, out.Union()};
 }
 
@@ -117,14 +120,17 @@
                        largest->memory_mb(), largest->accelerators()};
     }
     out.capacity_slots = in.capacity_slots();
-    out.gone = texts(in.gone());
+    out.alive = texts(in.alive());
+    out.settled = in.settled();
     return out;
 }
 
 settled unpack(const schema::Settled& in) {
     settled out;
     out.request_id = text(in.request_id());
-    out.stopped = in.stopped();
+    out.kind = in.kind() <= static_cast<std::uint8_t>(settled_kind::refused)
+                   ? static_cast<settled_kind>(in.kind())
+                   : settled_kind::answered;
     auto highest = static_cast<std::uint8_t>(base::outcome::unknown);
     out.answer.result = in.outcome() <= highest
                             ? static_cast<base::outcome>(in.outcome())
@@ -145,7 +151,7 @@
     // An unknown verdict of a newer sender must not read as "not here".
     verdict found = in.verdict() <= highest ? static_cast<verdict>(in.verdict())
                                             : verdict::undecided;
-    return {in.query(), text(in.request_id()), found};
+    return {in.query(), text(in.request_id()), found, in.ran_before()};
 }
 
 std::optional<message> unpack(const schema::Envelope& in) {
@@ -174,7 +180,7 @@
     case schema::Content_Forward: {
         const auto* from = in.content_as_Forward();
         return forward{text(from->request_id()), text(from->request_text()),
-                       base::milliseconds(from->remaining_ms())};
+                       base::milliseconds(from->remaining_ms()), from->echo()};
     }
     case schema::Content_Cancel:
         return cancel{text(in.content_as_Cancel()->request_id())};
