Send holdings again until the peer has the latest

Ruled out: the takeover scan, which found the jobs finished.

Change: heartbeats say which revision of the receiver's holdings the sender has; a stale one is answered with the holdings.

--- a/include/eelgrasslever/membership/roster.hpp
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -42,6 +42,7 @@
     base::resources largest;
     std::int64_t capacity_slots{0};
     std::set<std::string> holdings;
+    std::uint64_t holdings_revision{0};
 };
 
 /// @return the VM name of a member id.
@@ -88,7 +89,8 @@
     [[nodiscard]] int share_index() const;
     /// @return ids of the members of our FD that are heard, this one included.
     [[nodiscard]] std::vector<std::string> alive_here(base::instant now) const;
-    /// @return whether the last `prove_gone` found every endpoint in safe hands.
+    /// @return whether the last `prove_gone` found every endpoint in safe
+    /// hands.
     [[nodiscard]] bool settled() const { return m_settled; }
     [[nodiscard]] const std::string& self_id() const { return m_self; }
     [[nodiscard]] const std::string& failure_domain() const { return m_fd; }
--- a/include/eelgrasslever/node/book.hpp
+++ b/include/eelgrasslever/node/book.hpp
@@ -21,7 +21,7 @@
     placed, ///< at endpoints, or room is being made there
     remote, ///< another member runs it
     job,    ///< coordinated here, its tasks are entries of their own
-    held, ///< stopped for other work; waits before it is queued again
+    held,   ///< stopped for other work; waits before it is queued again
     answered,
 };
 
@@ -48,7 +48,7 @@
     bool needs_locate{false}; ///< ask again before any start
     bool admitted{false};     ///< checked against bundle, quota and queue
     bool forwarded_here{false};
-    bool recorded{false};  ///< the journal holds its intent
+    bool recorded{false}; ///< the journal holds its intent
     /// Nothing sent before under this id can have run: the caller, the other
     /// members or the journal say so. Only then may an answer be `not_run`.
     bool proven_new{false};
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -20,6 +20,8 @@
     std::string peer_address;
     std::uint64_t sequence{0};
     std::uint64_t echo{0}; ///< last sequence heard from the receiver
+    /// Revision of the receiver's holdings that the sender has.
+    std::uint64_t holdings_seen{0};
     bool draining{false};
     bool left{false}; ///< holds nothing any more and is about to exit
     std::uint64_t bundle_version{0};
--- a/include/eelgrasslever/wire/schema/peer_generated.h
+++ b/include/eelgrasslever/wire/schema/peer_generated.h
@@ -216,16 +216,17 @@
     VT_PEER_ADDRESS = 8,
     VT_SEQUENCE = 10,
     VT_ECHO = 12,
-    VT_DRAINING = 14,
-    VT_LEFT = 16,
-    VT_BUNDLE_VERSION = 18,
-    VT_LIST_VERSION = 20,
-    VT_PLATFORM_REACHED = 22,
-    VT_FREE_SLOTS = 24,
-    VT_LARGEST = 26,
-    VT_CAPACITY_SLOTS = 28,
-    VT_ALIVE = 30,
-    VT_SETTLED = 32
+    VT_HOLDINGS_SEEN = 14,
+    VT_DRAINING = 16,
+    VT_LEFT = 18,
+    VT_BUNDLE_VERSION = 20,
+    VT_LIST_VERSION = 22,
+    VT_PLATFORM_REACHED = 24,
+    VT_FREE_SLOTS = 26,
+    VT_LARGEST = 28,
+    VT_CAPACITY_SLOTS = 30,
+    VT_ALIVE = 32,
+    VT_SETTLED = 34
   };
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
@@ -242,6 +243,9 @@
   uint64_t echo() const {
     return GetField<uint64_t>(VT_ECHO, 0);
   }
+  uint64_t holdings_seen() const {
+    return GetField<uint64_t>(VT_HOLDINGS_SEEN, 0);
+  }
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
@@ -282,6 +286,7 @@
            verifier.VerifyString(peer_address()) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDINGS_SEEN, 8) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEFT, 1) &&
            VerifyField<uint64_t>(verifier, VT_BUNDLE_VERSION, 8) &&
@@ -318,6 +323,9 @@
   void add_echo(uint64_t echo) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO, echo, 0);
   }
+  void add_holdings_seen(uint64_t holdings_seen) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_HOLDINGS_SEEN, holdings_seen, 0);
+  }
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
@@ -366,6 +374,7 @@
     flatbuffers::Offset<flatbuffers::String> peer_address = 0,
     uint64_t sequence = 0,
     uint64_t echo = 0,
+    uint64_t holdings_seen = 0,
     bool draining = false,
     bool left = false,
     uint64_t bundle_version = 0,
@@ -381,6 +390,7 @@
   builder_.add_free_slots(free_slots);
   builder_.add_list_version(list_version);
   builder_.add_bundle_version(bundle_version);
+  builder_.add_holdings_seen(holdings_seen);
   builder_.add_echo(echo);
   builder_.add_sequence(sequence);
   builder_.add_alive(alive);
@@ -402,6 +412,7 @@
     const char *peer_address = nullptr,
     uint64_t sequence = 0,
     uint64_t echo = 0,
+    uint64_t holdings_seen = 0,
     bool draining = false,
     bool left = false,
     uint64_t bundle_version = 0,
@@ -423,6 +434,7 @@
       peer_address__,
       sequence,
       echo,
+      holdings_seen,
       draining,
       left,
       bundle_version,
--- a/src/dispatch/session.cpp
+++ b/src/dispatch/session.cpp
@@ -251,8 +251,8 @@
     }
     // The ending of an earlier run must not end a later run of the same id.
     for (const endpoint::task_report& report : reply.reports) {
-        bool superseded = report.state != task_state::running &&
-                          running.contains(report.id);
+        bool superseded =
+            report.state != task_state::running && running.contains(report.id);
         if (superseded) {
             m_acknowledged = std::max(m_acknowledged, report.sequence);
             continue;
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -62,6 +62,7 @@
     if (found == m_members.end()) {
         return;
     }
+    found->second.holdings_revision = held.revision;
     found->second.holdings = {held.endpoints.begin(), held.endpoints.end()};
 }
 
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -221,8 +221,7 @@
         m_context.out.answer(caller, request.id, *refused);
         return;
     }
-    entry_ptr item =
-        open_entry(request, m_context.now + request.timeout);
+    entry_ptr item = open_entry(request, m_context.now + request.timeout);
     item->admitted = first;
     item->callers.insert(caller);
     begin(item);
@@ -263,16 +262,15 @@
     }
     if (known && known->final_answer.result != outcome::not_run) {
         m_context.out.send_peer(
-            member, wire::settled{request.id,
-                                  wire::settled_kind::answered,
+            member, wire::settled{request.id, wire::settled_kind::answered,
                                   known->final_answer});
         return;
     }
     auto refused = refusal(request);
     if (refused) {
         m_context.out.send_peer(
-            member, wire::settled{request.id, wire::settled_kind::refused,
-                                  *refused});
+            member,
+            wire::settled{request.id, wire::settled_kind::refused, *refused});
         return;
     }
     entry_ptr item = open_entry(request, m_context.now + request.timeout);
@@ -351,9 +349,7 @@
 
 void intake::enqueue(const entry_ptr& item) {
     if (item->cancelled) {
-        settle(item,
-               make_answer(outcome::not_run,
-                           "cancelled"));
+        settle(item, make_answer(outcome::not_run, "cancelled"));
         return;
     }
     if (item->needs_locate) {
@@ -369,9 +365,8 @@
             ? m_context.bundle_in_force->find_team(request.team)
             : nullptr;
     if (team == nullptr) {
-        settle(item,
-               make_answer(outcome::not_run,
-                           "the team is not in the bundle in force"));
+        settle(item, make_answer(outcome::not_run,
+                                 "the team is not in the bundle in force"));
         return;
     }
     const admission::policy& kind = *find_policy(request.kind);
@@ -513,8 +508,8 @@
     }
     item->callers.clear();
     for (const std::string& member : item->attached_members) {
-        m_context.out.send_peer(member, wire::settled{id, wire::settled_kind::answered,
-                                                value});
+        m_context.out.send_peer(
+            member, wire::settled{id, wire::settled_kind::answered, value});
     }
     item->attached_members.clear();
     if (item->recorded) {
@@ -539,9 +534,7 @@
     case stage::queued:
     case stage::held:
     case stage::recording:
-        settle(item,
-               make_answer(outcome::not_run,
-                           "cancelled"));
+        settle(item, make_answer(outcome::not_run, "cancelled"));
         return;
     case stage::placed:
         m_context.runner->stop_tasks(item);
--- a/src/node/locator.cpp
+++ b/src/node/locator.cpp
@@ -94,8 +94,8 @@
     wire::located reply{question.query, id, wire::verdict::unknown, false};
     entry_ptr item = m_context.book.find(id);
     bool known = item && worth_attaching(*item);
-    bool gives_way = known && item->at == stage::locating &&
-                     !item->ever_sent && !goes_first(id, from);
+    bool gives_way = known && item->at == stage::locating && !item->ever_sent &&
+                     !goes_first(id, from);
     // An entry that waits for the asker itself is not here.
     bool at_asker = known && item->at == stage::remote && item->home == from;
     if (known && !gives_way && !at_asker) {
--- a/src/node/peering.cpp
+++ b/src/node/peering.cpp
@@ -27,6 +27,7 @@
     beat.sequence = m_sequence;
     const membership::member* who = m_context.roster.find(member);
     beat.echo = who != nullptr ? who->last_sequence : 0;
+    beat.holdings_seen = who != nullptr ? who->holdings_revision : 0;
     beat.draining = m_context.draining;
     beat.left = m_said_left;
     beat.bundle_version = m_context.bundle_version();
@@ -70,12 +71,15 @@
     bool back = m_context.roster.on_heartbeat(from, beat, m_context.now);
     m_context.configurator->relay_to(from, beat.bundle_version,
                                      beat.list_version);
+    if (beat.holdings_seen != m_holdings_revision &&
+        beat.failure_domain == m_context.config.failure_domain) {
+        send_holdings(from);
+    }
     if (!back) {
         return;
     }
     m_context.out.log(
         {"member_heard", {{"member", from}, {"fd", beat.failure_domain}}});
-    send_holdings(from);
     if (known) {
         on_doubtful_past();
     }
@@ -137,8 +141,7 @@
         return;
     }
     request->timeout = work.remaining;
-    m_context.intake->submit_forwarded(*request, from,
-                                       sent_lately(work.echo));
+    m_context.intake->submit_forwarded(*request, from, sent_lately(work.echo));
 }
 
 bool peering::sent_lately(std::uint64_t sequence) const {
@@ -185,7 +188,8 @@
     m_last_holdings = held;
     m_holdings_revision++;
     for (const membership::member* who : m_context.roster.possible_homes()) {
-        if (m_context.roster.heard(*who, m_context.now)) {
+        bool here = who->failure_domain == m_context.config.failure_domain;
+        if (here && m_context.roster.heard(*who, m_context.now)) {
             send_holdings(who->id);
         }
     }
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -242,15 +242,15 @@
     const std::string& id,
     std::function<void(bool reached, const journal::entry*)> done) {
     std::size_t at = journal::shard_of(id, m_shards.size());
-    m_shards[at]->refresh([id, done = std::move(done)](
-                              const journal::entries* all) {
-        if (all == nullptr) {
-            done(false, nullptr);
-            return;
-        }
-        auto found = all->find(id);
-        done(true, found == all->end() ? nullptr : &found->second);
-    });
+    m_shards[at]->refresh(
+        [id, done = std::move(done)](const journal::entries* all) {
+            if (all == nullptr) {
+                done(false, nullptr);
+                return;
+            }
+            auto found = all->find(id);
+            done(true, found == all->end() ? nullptr : &found->second);
+        });
     pump(*m_shards[at]);
 }
 
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -221,9 +221,9 @@
         // An old ending of the same id, from another endpoint's inventory; or
         // a second run, which must not go on.
         if (event.kind == event_kind::adopted) {
-            m_context.out.log({"second_run_stopped",
-                               {{"id", event.task},
-                                {"endpoint", event.endpoint}}});
+            m_context.out.log(
+                {"second_run_stopped",
+                 {{"id", event.task}, {"endpoint", event.endpoint}}});
             m_context.fleet.stop(event.endpoint, event.task);
         }
         return;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -25,10 +25,9 @@
     auto peer = to.CreateString(in.peer_address);
     auto alive = to.CreateVectorOfStrings(in.alive);
     auto out = schema::CreateHeartbeat(
-        to, fd, http, peer, in.sequence, in.echo, in.draining, in.left,
-        in.bundle_version, in.list_version, in.platform_reached, in.free_slots,
-        largest, in.capacity_slots, alive,
-        in.settled);
+        to, fd, http, peer, in.sequence, in.echo, in.holdings_seen, in.draining,
+        in.left, in.bundle_version, in.list_version, in.platform_reached,
+        in.free_slots, largest, in.capacity_slots, alive, in.settled);
     return {schema::Content_Heartbeat, out.Union()};
 }
 
@@ -67,17 +66,17 @@
     auto result = static_cast<std::uint8_t>(in.answer.result);
     std::int64_t retry =
         in.answer.retry_after ? in.answer.retry_after->count() : -1;
-    auto out = schema::CreateSettled(to, id, kind, result, body, detail,
-                                     retry, ran_at, in.answer.bundle_version,
-                                     in.answer.rejected);
+    auto out =
+        schema::CreateSettled(to, id, kind, result, body, detail, retry, ran_at,
+                              in.answer.bundle_version, in.answer.rejected);
     return {schema::Content_Settled, out.Union()};
 }
 
 packed pack(FlatBufferBuilder& to, const forward& in) {
     auto id = to.CreateString(in.request_id);
     auto text = to.CreateString(in.request_text);
-    auto out = schema::CreateForward(to, id, text,
-                                     in.remaining.count(), in.echo);
+    auto out =
+        schema::CreateForward(to, id, text, in.remaining.count(), in.echo);
     return {schema::Content_Forward, out.Union()};
 }
 
@@ -109,6 +108,7 @@
     out.peer_address = text(in.peer_address());
     out.sequence = in.sequence();
     out.echo = in.echo();
+    out.holdings_seen = in.holdings_seen();
     out.draining = in.draining();
     out.left = in.left();
     out.bundle_version = in.bundle_version();
--- a/tests/support/fake_cell.cpp
+++ b/tests/support/fake_cell.cpp
@@ -54,8 +54,7 @@
         callers.erase(found);
         events.on_answer(id, value);
     }
-    void accept(el::node::caller_token caller,
-                const std::string& id) override {
+    void accept(el::node::caller_token caller, const std::string& id) override {
         auto found = callers.find(caller);
         if (found != callers.end()) {
             auto events = found->second;
@@ -97,8 +96,7 @@
 };
 
 fake_cell::fake_cell(const cell_shape& shape, std::uint64_t seed)
-    : m_shape(shape), m_random(seed),
-      m_author(el::bundle::generate_key_pair()),
+    : m_shape(shape), m_random(seed), m_author(el::bundle::generate_key_pair()),
       m_approver(el::bundle::generate_key_pair()) {
     for (int domain = 0; domain < shape.failure_domains; ++domain) {
         for (int i = 0; i < shape.entries_per_domain; ++i) {
@@ -106,8 +104,7 @@
                                     std::to_string(i));
         }
         for (int i = 0; i < shape.endpoints_per_domain; ++i) {
-            std::string name =
-                domain_name(domain) + "-ep" + std::to_string(i);
+            std::string name = domain_name(domain) + "-ep" + std::to_string(i);
             m_endpoint_names.push_back(name);
             m_endpoints[name] = std::make_unique<endpoint_process>();
             boot_endpoint(name);
@@ -160,17 +157,17 @@
             if (event.what == kind::start) {
                 end_overdue_elsewhere(name);
             }
-            note(event.task, std::string(event.what == kind::start
-                                             ? "start at "
-                                             : "end at ") +
-                                 name + " " +
-                                 el::endpoint::to_string(event.state));
+            note(event.task,
+                 std::string(event.what == kind::start ? "start at "
+                                                       : "end at ") +
+                     name + " " + el::endpoint::to_string(event.state));
             m_audit.on_endpoint_event(name, event);
         });
 }
 
 void fake_cell::note(const std::string& id, const std::string& what) const {
-    bool wanted = !m_trace.empty() && (id.empty() || id == m_trace || m_trace == "all");
+    bool wanted =
+        !m_trace.empty() && (id.empty() || id == m_trace || m_trace == "all");
     if (wanted) {
         std::cerr << m_now.time_since_epoch().count() << " " << id << " "
                   << what << "\n";
@@ -189,14 +186,14 @@
 void fake_cell::publish_vms(const std::set<std::string>& leaving) {
     nlohmann::json rows = nlohmann::json::array();
     auto add = [&](const std::string& name, const char* role) {
-        rows.push_back({{"name", name},
-                        {"role", role},
-                        {"failure_domain", domain_of(name)},
-                        {"rack", "r0"},
-                        {"address", name},
-                        {"peer_address", name},
-                        {"state", leaving.contains(name) ? "leaving"
-                                                         : "live"}});
+        rows.push_back(
+            {{"name", name},
+             {"role", role},
+             {"failure_domain", domain_of(name)},
+             {"rack", "r0"},
+             {"address", name},
+             {"peer_address", name},
+             {"state", leaving.contains(name) ? "leaving" : "live"}});
     };
     for (const std::string& name : m_entry_names) {
         add(name, "entry");
@@ -238,15 +235,13 @@
 void fake_cell::in_entry(const std::string& entry, std::uint64_t incarnation,
                          const std::function<void(entry_process&)>& work) {
     auto found = m_entries.find(entry);
-    if (found == m_entries.end() ||
-        found->second->incarnation != incarnation) {
+    if (found == m_entries.end() || found->second->incarnation != incarnation) {
         return;
     }
     if (found->second->frozen) {
-        found->second->thaw.push_back(
-            [this, entry, incarnation, work] {
-                in_entry(entry, incarnation, work);
-            });
+        found->second->thaw.push_back([this, entry, incarnation, work] {
+            in_entry(entry, incarnation, work);
+        });
         return;
     }
     work(*found->second);
@@ -306,8 +301,7 @@
                 if (reached) {
                     in_entry(name, to->second->incarnation,
                              [this, sender, beat](entry_process& self) {
-                                 self.node.on_peer_message(sender, beat,
-                                                           m_now);
+                                 self.node.on_peer_message(sender, beat, m_now);
                              });
                 }
             });
@@ -380,14 +374,14 @@
     auto answered = std::make_shared<bool>(false);
     auto deliver = [this, name, number, endpoint, call,
                     answered](const el::endpoint::reply& reply) {
-        in_entry(name, number, [this, endpoint, call, answered,
-                                reply](entry_process& self) {
-            if (*answered) {
-                return;
-            }
-            *answered = true;
-            self.node.on_endpoint_reply(endpoint, call, reply, m_now);
-        });
+        in_entry(name, number,
+                 [this, endpoint, call, answered, reply](entry_process& self) {
+                     if (*answered) {
+                         return;
+                     }
+                     *answered = true;
+                     self.node.on_endpoint_reply(endpoint, call, reply, m_now);
+                 });
     };
     after(call.timeout, [deliver] { deliver({}); });
     constexpr std::uint64_t late_ms = 6000;
@@ -509,10 +503,9 @@
 void fake_cell::cancel(const std::string& entry, const std::string& id) {
     auto to = m_entries.find(entry);
     if (to != m_entries.end()) {
-        in_entry(entry, to->second->incarnation,
-                 [this, id](entry_process& self) {
-                     self.node.cancel(id, m_now);
-                 });
+        in_entry(
+            entry, to->second->incarnation,
+            [this, id](entry_process& self) { self.node.cancel(id, m_now); });
     }
 }
 
@@ -555,8 +548,7 @@
     std::uint64_t number = found->second->incarnation;
     after(time, [this, entry, number] {
         auto again = m_entries.find(entry);
-        if (again == m_entries.end() ||
-            again->second->incarnation != number) {
+        if (again == m_entries.end() || again->second->incarnation != number) {
             return;
         }
         again->second->frozen = false;
--- a/tests/support/fake_cell.hpp
+++ b/tests/support/fake_cell.hpp
@@ -66,8 +66,8 @@
     [[nodiscard]] const el::node::node* node_of(const std::string& entry) const;
 
     /// Sends a request to an entry VM; nothing is heard if that VM dies.
-    void submit(const std::string& entry,
-                const el::admission::request& request, caller_events caller);
+    void submit(const std::string& entry, const el::admission::request& request,
+                caller_events caller);
     void wait_for(const std::string& entry, const std::string& id,
                   caller_events caller);
     void cancel(const std::string& entry, const std::string& id);
--- a/tests/support/random_run.cpp
+++ b/tests/support/random_run.cpp
@@ -4,9 +4,9 @@
 
 namespace test_support {
 
+using base::outcome;
 using el::admission::attempt_mark;
 using el::admission::request;
-using base::outcome;
 
 namespace {
 
@@ -50,8 +50,8 @@
 
     milliseconds between(int low, int high) {
         return milliseconds(
-            low + static_cast<int>(m_cell.pick(
-                      static_cast<std::uint64_t>(high - low + 1))));
+            low + static_cast<int>(
+                      m_cell.pick(static_cast<std::uint64_t>(high - low + 1))));
     }
     const std::string& any_of(const std::vector<std::string>& all) {
         return all[m_cell.pick(all.size())];
@@ -214,12 +214,10 @@
         m_cell.freeze_entry(any_of(m_cell.entries()), between(200, 12000));
     }
     void restart_an_endpoint() {
-        m_cell.restart_endpoint(any_of(m_cell.endpoints()),
-                                between(10, 5000));
+        m_cell.restart_endpoint(any_of(m_cell.endpoints()), between(10, 5000));
     }
     void freeze_an_endpoint() {
-        m_cell.freeze_endpoint(any_of(m_cell.endpoints()),
-                               between(200, 12000));
+        m_cell.freeze_endpoint(any_of(m_cell.endpoints()), between(200, 12000));
     }
     void cut(const std::string& a, const std::string& b, milliseconds time) {
         m_cell.set_cut(a, b, true);
--- a/tests/support/random_run.hpp
+++ b/tests/support/random_run.hpp
@@ -49,7 +49,6 @@
     std::size_t jobs_ended{0};
 };
 
-[[nodiscard]] random_run_result
-run_randomly(const random_run_options& options);
+[[nodiscard]] random_run_result run_randomly(const random_run_options& options);
 
 } // namespace test_support
--- a/tests/support/run_audit.cpp
+++ b/tests/support/run_audit.cpp
@@ -9,8 +9,7 @@
 }
 
 void run_audit::on_endpoint_event(
-    const std::string& endpoint,
-    const standins::endpoint::audit_event& event) {
+    const std::string& endpoint, const standins::endpoint::audit_event& event) {
     std::set<std::string>& where = m_running_at[event.task];
     if (event.what == kind::over_capacity) {
         violate("over capacity: " + event.task + " at " + endpoint);
--- a/tests/support/run_audit.hpp
+++ b/tests/support/run_audit.hpp
@@ -34,8 +34,7 @@
     }
     [[nodiscard]] std::size_t starts() const { return m_starts; }
     [[nodiscard]] std::size_t answers() const { return m_answers; }
-    [[nodiscard]] std::size_t
-    answers_of(base::outcome result) const;
+    [[nodiscard]] std::size_t answers_of(base::outcome result) const;
 
   private:
     [[nodiscard]] bool ever_started(const std::string& id) const;
