--- a/include/eelgrasslever/node/recorder.hpp
+++ b/include/eelgrasslever/node/recorder.hpp
@@ -25,7 +25,7 @@
     void look_up(const std::string& id,
                  std::function<void(bool reached, const journal::entry*)> done);
     /// Reads every shard afresh.
-    void scan(std::function<void(const journal::entries&)> on_shard);
+    void scan(const std::function<void(const journal::entries&)>& on_shard);
 
     void on_reply(const store::call& call, const store::reply& reply);
     void advance();
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -254,7 +254,8 @@
     pump(*m_shards[at]);
 }
 
-void recorder::scan(std::function<void(const journal::entries&)> on_shard) {
+void recorder::scan(
+    const std::function<void(const journal::entries&)>& on_shard) {
     for (auto& shard : m_shards) {
         shard->refresh([on_shard](const journal::entries* all) {
             if (all != nullptr) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,6 +1,6 @@
 #include "eelgrasslever/wire/codec.hpp"
 
-#include "eelgrasslever/wire/schema/peer_generated.h"
+#include "eelgrasslever/wire/peer_generated.h"
 
 #include <array>
 
--- a/tests/support/fake_cell.cpp
+++ b/tests/support/fake_cell.cpp
@@ -510,7 +510,7 @@
 }
 
 void fake_cell::roll_out(const std::string& entry, std::uint64_t version,
-                         std::function<void(base::result<void>)> done) {
+                         const std::function<void(base::result<void>)>& done) {
     nlohmann::json teams = nlohmann::json::array();
     for (const char* name : {"doors", "office", "visitors"}) {
         bool trial = std::string(name) == "visitors";
--- a/tests/support/fake_cell.hpp
+++ b/tests/support/fake_cell.hpp
@@ -73,7 +73,7 @@
     void cancel(const std::string& entry, const std::string& id);
     /// Signs and rolls out a bundle through @p entry.
     void roll_out(const std::string& entry, std::uint64_t version,
-                  std::function<void(base::result<void>)> done);
+                  const std::function<void(base::result<void>)>& done);
 
     // Faults.
     void kill_entry(const std::string& entry);
