--- /dev/null
+++ b/tests/wire/codec_test.cpp
@@ -0,0 +1,86 @@
+#include "eelgrasslever/wire/codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace eelgrasslever::wire;
+
+namespace {
+
+envelope through(const message& content) {
+    std::string frame = encode({"vm@1", content});
+    frame_reader reader;
+    // One byte at a time, as a slow connection delivers it.
+    for (char c : frame) {
+        reader.append(&c, 1);
+    }
+    auto next = reader.next();
+    BOOST_REQUIRE(next);
+    BOOST_REQUIRE(next->has_value());
+    auto decoded = decode(**next);
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(decoded->from == "vm@1");
+    return *decoded;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(messages_survive_the_wire) {
+    heartbeat beat;
+    beat.failure_domain = "galata";
+    beat.sequence = 7;
+    beat.alive = {"a@1", "b@2"};
+    beat.settled = true;
+    beat.largest = {8, 16000, 65536, 2};
+    auto beat_again = std::get<heartbeat>(through(beat).content);
+    BOOST_TEST(beat_again.sequence == 7u);
+    BOOST_TEST(beat_again.alive.size() == 2u);
+    BOOST_TEST(beat_again.settled);
+    BOOST_TEST((beat_again.largest == beat.largest));
+
+    settled ended;
+    ended.request_id = "r1";
+    ended.kind = settled_kind::refused;
+    ended.answer.result = eelgrasslever::base::outcome::not_run;
+    ended.answer.body = std::string(100000, 'x');
+    ended.answer.retry_after = std::chrono::milliseconds(70);
+    auto ended_again = std::get<settled>(through(ended).content);
+    BOOST_TEST((ended_again.kind == settled_kind::refused));
+    BOOST_TEST(ended_again.answer.body.size() == 100000u);
+    BOOST_TEST(ended_again.answer.retry_after->count() == 70);
+
+    auto question =
+        std::get<locate>(through(locate{9, "r2", true, false}).content);
+    BOOST_TEST(question.query == 9u);
+    BOOST_TEST(!question.cell_wide);
+    auto work = std::get<forward>(
+        through(forward{"r3", "{}", std::chrono::milliseconds(5), 4}).content);
+    BOOST_TEST(work.echo == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(an_oversize_frame_is_refused_before_it_is_read) {
+    frame_reader reader;
+    const char header[] = {'\xff', '\xff', '\xff', '\x7f'};
+    reader.append(header, sizeof header);
+    BOOST_TEST(!reader.next());
+}
+
+BOOST_AUTO_TEST_CASE(damaged_frames_are_refused_or_harmless) {
+    std::mt19937_64 random(5);
+    settled ended;
+    ended.request_id = "r1";
+    ended.answer.body = "result";
+    std::string good = encode({"vm@1", ended}).substr(frame_header_bytes);
+    int refused = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string damaged = good;
+        for (std::uint64_t n = 0; n <= random() % 4; ++n) {
+            damaged[random() % damaged.size()] =
+                static_cast<char>(random() & 0xFF);
+        }
+        damaged.resize(random() % 3 == 0 ? random() % damaged.size()
+                                         : damaged.size());
+        refused += decode(damaged) ? 0 : 1;
+    }
+    BOOST_TEST(refused > 0);
+}
