--- a/include/eelgrasslever/membership/roster.hpp
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -98,7 +98,8 @@
     void note_handed(const std::string& id, std::int64_t slots);
     /// Forgets members that left or are gone after @p age of silence.
     void forget_old(base::instant now, base::milliseconds age);
-    /// @return whether some possible home other than @p asker is silent.
+    /// @return whether some possible home in our FD other than @p asker is
+    /// silent. Each FD speaks for its own members alone.
     [[nodiscard]] bool any_silent(const std::string& asker,
                                   base::instant now) const;
 
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -202,7 +202,8 @@
 
 bool roster::any_silent(const std::string& asker, base::instant now) const {
     for (const member* who : possible_homes()) {
-        if (who->id != asker && !heard(*who, now)) {
+        if (who->failure_domain == m_fd && who->id != asker &&
+            !heard(*who, now)) {
             return true;
         }
     }
--- a/tests/support/run_audit.cpp
+++ b/tests/support/run_audit.cpp
@@ -19,6 +19,7 @@
         where.erase(endpoint);
         return;
     }
+    m_late_starts += event.what == kind::late_start ? 1 : 0;
     m_starts++;
     int starts = ++m_starts_of[event.task];
     if (!where.empty()) {
--- a/tests/support/run_audit.hpp
+++ b/tests/support/run_audit.hpp
@@ -32,6 +32,7 @@
     [[nodiscard]] const std::vector<std::string>& violations() const {
         return m_violations;
     }
+    [[nodiscard]] std::size_t late_starts() const { return m_late_starts; }
     [[nodiscard]] std::size_t starts() const { return m_starts; }
     [[nodiscard]] std::size_t answers() const { return m_answers; }
     [[nodiscard]] std::size_t answers_of(base::outcome result) const;
@@ -45,6 +46,7 @@
     std::map<base::outcome, std::size_t> m_by_outcome;
     std::vector<std::string> m_violations;
     std::size_t m_starts{0};
+    std::size_t m_late_starts{0}; ///< at endpoints already leaving
     std::size_t m_answers{0};
 };
 
