--- a/include/eelgrasslever/node/book.hpp
+++ b/include/eelgrasslever/node/book.hpp
@@ -47,6 +47,7 @@
     base::instant placed_at{};
     bool needs_locate{false}; ///< ask again before any start
     bool admitted{false};     ///< checked against bundle, quota and queue
+    bool handed_over{false}; ///< another member took it and has not said more
     bool forwarded_here{false};
     bool recorded{false}; ///< the journal holds its intent
     /// Nothing sent before under this id can have run: the caller, the other
--- a/include/eelgrasslever/node/locator.hpp
+++ b/include/eelgrasslever/node/locator.hpp
@@ -21,6 +21,9 @@
     /// Asks one member that should know the request.
     void ask_home(const entry_ptr& item);
 
+    /// Drops a round that is under way: the entry no longer waits for it.
+    void forget(const std::string& id) { m_rounds.erase(id); }
+
     void on_locate(const std::string& from, const wire::locate& question);
     void on_located(const std::string& from, const wire::located& reply);
     void advance();
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -304,7 +304,6 @@
         return;
     }
     entry_ptr item = open_entry(request, deadline);
-    item->needs_locate = request.attempt != attempt_mark::first;
     item->parent_job = job_id;
     item->admitted = true;
     enqueue(item);
@@ -386,6 +385,7 @@
     if (item->parent_job.empty() && !kind.durable()) {
         work.give_up_at = work.latest_start;
     }
+    m_context.locator->forget(request.id);
     item->at = stage::queued;
     m_context.queue.push(std::move(work));
 }
@@ -474,7 +474,7 @@
         value.detail += "; it had been started before";
         return;
     }
-    if (item.ever_sent || !item.proven_new) {
+    if (item.ever_sent || item.handed_over || !item.proven_new) {
         value.result = outcome::unknown;
         value.detail += "; an earlier attempt may have run";
     }
@@ -486,6 +486,7 @@
     }
     const std::string id = item->request.id;
     value.bundle_version = m_context.bundle_version();
+    m_context.locator->forget(id);
     if (value.result == outcome::not_run) {
         correct_not_run(*item, value);
     }
--- a/src/node/locator.cpp
+++ b/src/node/locator.cpp
@@ -159,7 +159,8 @@
     }
     if (found->second.gave_way && !found->second.undecided) {
         entry_ptr item = m_context.book.find(id);
-        if (item) {
+        m_rounds.erase(found);
+        if (item && item->at == stage::locating) {
             start(item);
         }
         return;
--- a/src/node/peering.cpp
+++ b/src/node/peering.cpp
@@ -109,6 +109,7 @@
     if (!final_here && !from_home) {
         return;
     }
+    item->handed_over = false;
     bool stopped = ended.kind == wire::settled_kind::stopped;
     bool again = ended.kind != wire::settled_kind::answered;
     if (!again || !item->has_request) {
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -205,6 +205,7 @@
     message.echo = best->last_sequence;
     item->at = stage::remote;
     item->home = best->id;
+    item->handed_over = true;
     item->next_check = m_context.now + home_check_period;
     m_context.intake->wake_at(item->request.id, item->next_check);
     m_context.out.send_peer(best->id, message);
