Answer for oneself only when asked where a request is

Ruled out: lost messages.

Change: what is remote is answered as unknown here; whoever runs it answers for itself, and the one that handed it over asks again before it runs it.

--- a/src/node/locator.cpp
+++ b/src/node/locator.cpp
@@ -29,7 +29,7 @@
 bool may_have_run(const entry& item) {
     bool open_answer = item.at == stage::answered &&
                        item.final_answer.result == base::outcome::unknown;
-    return item.ever_sent || item.in_doubt || open_answer;
+    return item.ever_sent || item.in_doubt || item.handed_over || open_answer;
 }
 
 } // namespace
@@ -96,9 +96,10 @@
     bool known = item && worth_attaching(*item);
     bool gives_way = known && item->at == stage::locating && !item->ever_sent &&
                      !goes_first(id, from);
-    // An entry that waits for the asker itself is not here.
-    bool at_asker = known && item->at == stage::remote && item->home == from;
-    if (known && !gives_way && !at_asker) {
+    // What waits for another member is not here: that member answers for
+    // itself, and pointers that are followed could lead in a circle.
+    bool elsewhere = known && item->at == stage::remote;
+    if (known && !gives_way && !elsewhere) {
         reply.found = wire::verdict::mine;
         if (item->at == stage::answered) {
             m_context.out.send_peer(from, reply);
--- a/src/node/peering.cpp
+++ b/src/node/peering.cpp
@@ -126,7 +126,8 @@
         item->ever_sent = true;
     }
     item->forwarded_here = true; // It is not handed over a second time.
-    item->needs_locate = item->needs_locate || stopped;
+    item->needs_locate = item->needs_locate || stopped ||
+                         m_context.locator->asked_by_other(ended.request_id);
     m_context.intake->enqueue(item);
 }
 
