Leave trial work out of what paying work used at its recent peak

(2) Headroom by bursts of 25 ms is used up by the first paying task of a burst and refilled only as trial tasks end.

Change: a start's reply adopts nothing; trial work leaves free what short paying work used at its peak of the last 2 s beyond what it uses now.

--- a/include/eelgrasslever/node/book.hpp
+++ b/include/eelgrasslever/node/book.hpp
@@ -47,7 +47,7 @@
     base::instant placed_at{};
     bool needs_locate{false}; ///< ask again before any start
     bool admitted{false};     ///< checked against bundle, quota and queue
-    bool handed_over{false}; ///< another member took it and has not said more
+    bool handed_over{false};  ///< another member took it and has not said more
     bool forwarded_here{false};
     bool recorded{false}; ///< the journal holds its intent
     /// Nothing sent before under this id can have run: the caller, the other
@@ -72,6 +72,7 @@
     std::string result_reason;
     std::string ran_at;
     std::int64_t charged_slots{0};
+    std::int64_t short_paying_slots{0}; ///< in use as short paying work
     base::answer final_answer;
     base::instant answered_at{};
 };
--- a/include/eelgrasslever/node/runner.hpp
+++ b/include/eelgrasslever/node/runner.hpp
@@ -28,11 +28,12 @@
     void place(const entry_ptr& item, const admission::work_item& work,
                const std::vector<placement::assignment>& plan);
     bool hand_over(const entry_ptr& item, const admission::work_item& work);
-    /// @return slots kept free of trial work, so that paying work that arrives
-    /// together need not wait for trial tasks to be stopped.
-    [[nodiscard]] std::int64_t headroom() const;
+    /// Trial work leaves free what short paying work used at its recent peak
+    /// beyond what it uses now, so that paying work need not wait for trial
+    /// tasks to be stopped.
     [[nodiscard]] bool leaves_headroom(const admission::work_item& work) const;
-    void note_paying_start(std::int64_t slots);
+    void note_paying_use(std::int64_t slots);
+    void forget_old_peaks();
     [[nodiscard]] bool holds_back(const admission::work_item& blocked) const;
     void on_event(const dispatch::event& event);
     void on_task_end(const entry_ptr& item, const dispatch::event& event);
@@ -44,11 +45,12 @@
     context& m_context;
     std::vector<entry_ptr> m_handed_over; ///< within one `pump`
     bool m_absorbing{false};
-    struct burst {
-        base::instant began{};
+    struct usage_sample {
+        base::instant at{};
         std::int64_t slots{0};
     };
-    std::deque<burst> m_paying_bursts; ///< latest last
+    std::int64_t m_paying_in_use{0};         ///< slots of short paying work
+    std::deque<usage_sample> m_paying_peaks; ///< falling, oldest first
 };
 
 /// @return ids of the tasks that an entry's run consists of.
--- a/src/dispatch/session.cpp
+++ b/src/dispatch/session.cpp
@@ -330,7 +330,10 @@
                        std::vector<event>& events) {
     if (reply.accepted) {
         for (const endpoint::task_report& report : reply.reports) {
-            apply_report(report, events);
+            // A poll on another connection may have reported its end first.
+            if (m_tasks.contains(report.id)) {
+                apply_report(report, events);
+            }
         }
         return;
     }
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -17,9 +17,7 @@
 // Work that waits for a large room this long holds back what is behind it.
 constexpr base::milliseconds patience{2000};
 constexpr base::milliseconds home_check_period{1000};
-// Paying starts closer together than a stop and its report take.
-constexpr base::milliseconds burst_length{25};
-constexpr base::milliseconds burst_memory{2000};
+constexpr base::milliseconds peak_memory{2000};
 
 bool needs_large_room(const admission::work_item& item) {
     return item.count > 1 || item.need.slots > 1 || item.need.accelerators > 0;
@@ -42,34 +40,26 @@
     return task_id.substr(0, task_id.rfind('/'));
 }
 
-std::int64_t runner::headroom() const {
-    std::int64_t largest = 0;
-    for (const burst& item : m_paying_bursts) {
-        largest = std::max(largest, item.slots);
-    }
-    return largest;
-}
-
 bool runner::leaves_headroom(const admission::work_item& work) const {
-    if (work.rank < admission::trial_rank_offset) {
+    bool trial = work.rank >= admission::trial_rank_offset;
+    if (!trial || m_paying_peaks.empty()) {
         return true;
     }
+    std::int64_t spare = std::max<std::int64_t>(
+        0, m_paying_peaks.front().slots - m_paying_in_use);
     auto totals = m_context.fleet.totals();
     std::int64_t free = totals.capacity.slots - totals.committed.slots;
-    return free - work.need.slots * work.count >= headroom();
+    return free - work.need.slots * work.count >= spare;
 }
 
-void runner::note_paying_start(std::int64_t slots) {
-    while (!m_paying_bursts.empty() &&
-           m_context.now - m_paying_bursts.front().began > burst_memory) {
-        m_paying_bursts.pop_front();
-    }
-    bool same = !m_paying_bursts.empty() &&
-                m_context.now - m_paying_bursts.back().began < burst_length;
-    if (!same) {
-        m_paying_bursts.push_back({m_context.now, 0});
-    }
-    m_paying_bursts.back().slots += slots;
+// Keeps the samples that may yet be the peak of the window.
+void runner::note_paying_use(std::int64_t slots) {
+    m_paying_in_use += slots;
+    while (!m_paying_peaks.empty() &&
+           m_paying_peaks.back().slots <= m_paying_in_use) {
+        m_paying_peaks.pop_back();
+    }
+    m_paying_peaks.push_back({m_context.now, m_paying_in_use});
 }
 
 bool runner::holds_back(const admission::work_item& blocked) const {
@@ -77,7 +67,15 @@
            m_context.now - blocked.queued_at > patience;
 }
 
+void runner::forget_old_peaks() {
+    while (!m_paying_peaks.empty() &&
+           m_context.now - m_paying_peaks.front().at > peak_memory) {
+        m_paying_peaks.pop_front();
+    }
+}
+
 void runner::pump() {
+    forget_old_peaks();
     std::vector<failed_shape> failed;
     auto known_to_fail = [&failed](const admission::work_item& work) {
         return std::any_of(
@@ -154,9 +152,9 @@
     item->at = stage::placed;
     item->placed_at = m_context.now;
     item->tally = {};
-    bool short_work = work.rank == 0;
-    if (short_work) {
-        note_paying_start(work.need.slots * work.count);
+    if (work.rank == 0) {
+        item->short_paying_slots = work.need.slots * work.count;
+        note_paying_use(item->short_paying_slots);
     }
     m_context.out.waited(work.rank, m_context.now - item->received);
     record_span(item, "queue");
@@ -392,6 +390,8 @@
 }
 
 void runner::conclude(const entry_ptr& item) {
+    note_paying_use(-item->short_paying_slots);
+    item->short_paying_slots = 0;
     if (item->charged_slots > 0) {
         m_context.queue.give_back(item->request.team, item->charged_slots);
         item->charged_slots = 0;
--- a/tests/dispatch/session_test.cpp
+++ b/tests/dispatch/session_test.cpp
@@ -181,6 +181,27 @@
     BOOST_TEST(endpoint.running() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(an_end_may_be_heard_before_the_start) {
+    auto endpoint = make_endpoint();
+    driven_session a("a@1");
+    a.exchange(endpoint, ms(0));
+    a.at.reserve(task_of("t", 5));
+    a.at.start("t");
+    endpoint::call start;
+    endpoint::call poll;
+    for (const auto& item : a.advance(ms(10))) {
+        bool starts = item.call.kind == endpoint::call_kind::start;
+        (starts ? start : poll) = item.call;
+    }
+    auto started = endpoint.handle(start, ms(10));
+    auto ended = endpoint.handle(poll, ms(20));
+    a.at.on_reply(poll, ended, ms(21), a.events);
+    a.at.on_reply(start, started, ms(22), a.events);
+    BOOST_TEST(a.count(event_kind::ended, "t") == 1);
+    BOOST_TEST(a.count(event_kind::adopted) == 0);
+    BOOST_TEST(a.at.tasks().empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_old_ending_does_not_end_a_later_run_of_the_id) {
     auto endpoint = make_endpoint();
     driven_session a("a@1");
--- a/tests/support/random_run.cpp
+++ b/tests/support/random_run.cpp
@@ -1,5 +1,7 @@
 #include "random_run.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace test_support {
@@ -307,6 +309,9 @@
         out.unknown = m_cell.audit().answers_of(outcome::unknown);
         out.jobs_accepted = m_jobs.size();
         out.jobs_ended = m_jobs_ended.size();
+        std::set_difference(m_jobs.begin(), m_jobs.end(), m_jobs_ended.begin(),
+                            m_jobs_ended.end(),
+                            std::back_inserter(out.open_jobs));
         return out;
     }
 
--- a/tests/support/random_run.hpp
+++ b/tests/support/random_run.hpp
@@ -47,6 +47,7 @@
     std::size_t unknown{0};
     std::size_t jobs_accepted{0};
     std::size_t jobs_ended{0};
+    std::vector<std::string> open_jobs; ///< accepted and not seen to end
 };
 
 [[nodiscard]] random_run_result run_randomly(const random_run_options& options);
--- a/tests/support/random_runs_main.cpp
+++ b/tests/support/random_runs_main.cpp
@@ -67,6 +67,9 @@
                       << result.jobs_accepted
                       << " violations=" << result.violations.size() << "\n";
         }
+        for (const std::string& job : result.open_jobs) {
+            std::cout << "  open job: " << job << "\n";
+        }
         for (const std::string& violation : result.violations) {
             std::cout << "  " << violation << "\n";
         }
