--- a/tools/eelload/report.cpp
+++ b/tools/eelload/report.cpp
@@ -1,6 +1,5 @@
 #include "report.hpp"
 
-
 #include <algorithm>
 #include <cmath>
 #include <fstream>
