--- /dev/null
+++ b/fuzz/targets.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// Fuzz targets: each reads untrusted bytes and must neither crash nor throw.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace fuzz {
+
+struct target {
+    const char* name;
+    void (*run)(const std::string& input);
+    std::vector<std::string> samples; ///< good input to start from
+};
+
+[[nodiscard]] target frame_target();
+[[nodiscard]] target request_target();
+[[nodiscard]] target bundle_target();
+[[nodiscard]] target settings_target();
+[[nodiscard]] target endpoint_reply_target();
+
+} // namespace fuzz
--- a/include/eelgrasslever/journal/shard.hpp
+++ b/include/eelgrasslever/journal/shard.hpp
@@ -55,7 +55,8 @@
   private:
     void on_read(const store::reply& reply);
     void on_write(const store::reply& reply);
-    void load(const store::reply& reply);
+    /// @return false where the value is not a shard.
+    [[nodiscard]] bool load(const store::reply& reply);
     void fail_all();
     void finish_committed();
     [[nodiscard]] std::string serialize() const;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -86,6 +86,14 @@
 SEEDS=""
 VM_ROWS=()
 
+make_seeds() { # make_seeds COUNT: the peer addresses of the first entry VMs
+  local i
+  SEEDS=""
+  for ((i = 0; i < $1; i++)); do
+    SEEDS+="${SEEDS:+,}\"127.0.0.1:$((ENTRY_PEER_BASE + i))\""
+  done
+}
+
 publish_vms() { # publish_vms [NAME_THAT_LEAVES...]
   local rows=("${VM_ROWS[@]}") group fd prefix first count i state name
   for group in "${ENDPOINT_GROUPS[@]}"; do
--- a/src/daemon/store_gateway.cpp
+++ b/src/daemon/store_gateway.cpp
@@ -34,6 +34,17 @@
     return out;
 }
 
+/// The body of a reply to a read or a write.
+struct stored_value {
+    std::uint64_t version{store::absent};
+    std::string value;
+};
+
+void from_json(const nlohmann::json& in, stored_value& out) {
+    out.version = in.value("version", std::uint64_t{0});
+    out.value = in.value("value", "");
+}
+
 store::reply read_reply(const store::call& call, const http::reply& in) {
     constexpr int conflict = 409;
     constexpr int too_many = 429;
@@ -52,12 +63,13 @@
         out.value = in.body;
         return out;
     }
-    auto parsed = base::parse_object(in.body, "store.reply", call.key);
+    auto parsed =
+        base::parse_message<stored_value>(in.body, "store.reply", call.key);
     if (!parsed) {
         return {};
     }
-    out.version = parsed->value("version", std::uint64_t{0});
-    out.value = parsed->value("value", "");
+    out.version = parsed->version;
+    out.value = std::move(parsed->value);
     return out;
 }
 
--- a/src/journal/shard.cpp
+++ b/src/journal/shard.cpp
@@ -21,6 +21,21 @@
     });
 }
 
+/// The value of the shard's key.
+struct stored_shard {
+    std::string writer;
+    std::uint64_t sequence{0};
+    entries all;
+};
+
+void from_json(const nlohmann::json& in, stored_shard& out) {
+    out.writer = in.value("writer", "");
+    out.sequence = in.value("sequence", std::uint64_t{0});
+    if (in.contains("entries")) {
+        out.all = in["entries"].get<entries>();
+    }
+}
+
 const entry* find_entry(const entries& all, const std::string& id) {
     auto found = all.find(id);
     return found == all.end() ? nullptr : &found->second;
@@ -102,7 +117,7 @@
     }
 }
 
-void shard::load(const store::reply& reply) {
+bool shard::load(const store::reply& reply) {
     m_cached = true;
     m_version = reply.version;
     m_value_bytes = reply.value.size();
@@ -110,26 +125,26 @@
     m_stored_writer.clear();
     m_stored_sequence = 0;
     if (reply.version == store::absent) {
-        return;
+        return true;
     }
-    auto parsed = base::parse_object(reply.value, "journal.read", m_key);
+    auto parsed =
+        base::parse_message<stored_shard>(reply.value, "journal.read", m_key);
     if (!parsed) {
-        return;
-    }
-    m_stored_writer = parsed->value("writer", "");
-    m_stored_sequence = parsed->value("sequence", std::uint64_t{0});
-    if (parsed->contains("entries")) {
-        m_entries = (*parsed)["entries"].get<entries>();
+        return false;
     }
+    m_stored_writer = parsed->writer;
+    m_stored_sequence = parsed->sequence;
+    m_entries = std::move(parsed->all);
+    return true;
 }
 
 void shard::on_read(const store::reply& reply) {
-    if (reply.result != store::status::ok) {
+    // A value that can't be read is never written over.
+    if (reply.result != store::status::ok || !load(reply)) {
         m_cached = false;
         fail_all();
         return;
     }
-    load(reply);
     if (m_read_back) {
         m_read_back = false;
         bool ours =
--- a/tests/journal/shard_test.cpp
+++ b/tests/journal/shard_test.cpp
@@ -148,6 +148,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_value_that_cannot_be_read_is_not_written_over) {
+    for (const char* value : {"[]", "{\"entries\":7}", "{\"writer\":{}}",
+                              "{\"entries\":{\"r\":5}}"}) {
+        shard at("journal/0", "a@1");
+        std::vector<commit_result> results;
+        at.submit(create("r", "a@1", results));
+        auto read = at.next_call(0);
+        at.on_reply(*read, {store::status::ok, 3, value});
+        BOOST_REQUIRE(results.size() == 1u);
+        BOOST_TEST((results[0] == commit_result::unavailable));
+        BOOST_TEST(!at.next_call(0).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(progress_is_kept_as_ranges) {
     std::vector<bool> finished{true, true, false, true, false, true, true};
     auto ranges = journal::to_ranges(finished);
