A message shows that its sender lives; doubt outlives a second hand-over

Change: any message makes its sender heard; an entry whose holder is gone stays in doubt through a second hand-over.

--- a/include/eelgrasslever/membership/roster.hpp
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -59,6 +59,9 @@
     bool on_heartbeat(const std::string& from, const wire::heartbeat& beat,
                       base::instant now);
     void on_holdings(const std::string& from, const wire::holdings& held);
+    /// Any message shows that its sender is not gone.
+    /// @return true where the member had been silent or taken for gone.
+    bool on_any_message(const std::string& from, base::instant now);
     void on_vm_list(const vm_list& list, base::instant now);
 
     /// Looks for members of our FD that are silent and fenced at every
--- a/include/eelgrasslever/node/locator.hpp
+++ b/include/eelgrasslever/node/locator.hpp
@@ -49,7 +49,7 @@
     context& m_context;
     std::uint64_t m_next_query{1};
     std::map<std::string, round> m_rounds;
-    std::map<std::string, base::instant> m_asked;
+    std::map<std::string, base::instant> m_asked; ///< until when, by id
 };
 
 } // namespace eelgrasslever::node
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -66,6 +66,18 @@
     found->second.holdings = {held.endpoints.begin(), held.endpoints.end()};
 }
 
+bool roster::on_any_message(const std::string& from, base::instant now) {
+    auto found = m_members.find(from);
+    if (found == m_members.end()) {
+        return false;
+    }
+    member& who = found->second;
+    bool back = who.gone || !heard(who, now);
+    who.gone = false;
+    who.last_heard = now;
+    return back;
+}
+
 void roster::on_vm_list(const vm_list& list, base::instant now) {
     m_listed_names.clear();
     for (const auto& [name, record] : list.vms) {
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -418,10 +418,16 @@
         return;
     }
     if (found == wire::verdict::unknown && m_context.now >= item->doubt_until) {
+        if (item->handed_over) {
+            // Whoever had it is gone and can't say what became of it.
+            item->handed_over = false;
+            item->in_doubt = true;
+            item->proven_new = false;
+        }
         item->needs_locate = false;
         item->proven_new = item->proven_new || !item->in_doubt;
         bool once = item->has_request && !item->request.repeatable;
-        if (once && (item->ever_sent || item->handed_over)) {
+        if (once && (item->ever_sent || item->in_doubt)) {
             settle(item,
                    make_answer(outcome::unknown, "whoever had it is lost; it "
                                                  "may have run"));
--- a/src/node/peering.cpp
+++ b/src/node/peering.cpp
@@ -47,6 +47,9 @@
 
 void peering::on_message(const std::string& from,
                          const wire::message& message) {
+    if (m_context.roster.on_any_message(from, m_context.now)) {
+        on_doubtful_past();
+    }
     if (const auto* beat = std::get_if<wire::heartbeat>(&message)) {
         on_heartbeat(from, *beat);
     } else if (const auto* held = std::get_if<wire::holdings>(&message)) {
