Take nothing for proved across a pause; remember work stopped elsewhere

Ruled out: the refusal at a planned stop itself (it asks first).

Change: a pause voids every proof that a member is gone; a stopped run found in an inventory is remembered as one that ran.

--- a/include/eelgrasslever/membership/roster.hpp
+++ b/include/eelgrasslever/membership/roster.hpp
@@ -73,6 +73,10 @@
                const std::function<bool(const std::string&)>& held_here,
                base::instant now);
 
+    /// After a pause of this process nothing proved before it holds: others may
+    /// have taken endpoints meanwhile.
+    void forget_proofs();
+
     [[nodiscard]] bool heard(const member& who, base::instant now) const;
     [[nodiscard]] const member* find(const std::string& id) const;
     [[nodiscard]] const std::map<std::string, member>& members() const {
--- a/include/eelgrasslever/node/runner.hpp
+++ b/include/eelgrasslever/node/runner.hpp
@@ -38,6 +38,7 @@
     void on_event(const dispatch::event& event);
     void on_task_end(const entry_ptr& item, const dispatch::event& event);
     void on_orphan(const dispatch::event& event);
+    void remember_stopped(const dispatch::event& event);
     void conclude(const entry_ptr& item);
     void run_again(const entry_ptr& item);
     void record_span(const entry_ptr& item, const std::string& name);
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -94,6 +94,13 @@
     }
 }
 
+void roster::forget_proofs() {
+    m_settled = false;
+    for (auto& [id, who] : m_members) {
+        who.gone = false;
+    }
+}
+
 bool roster::heard(const member& who, base::instant now) const {
     return now - who.last_heard < m_times.suspect_after;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,6 +34,7 @@
     }
     m_context.out.log({"pause_noticed", {}});
     m_context.distrust_first_marks();
+    m_context.roster.forget_proofs();
     for (const auto& [id, item] : m_context.book.all()) {
         if (item->at == stage::queued && !item->recorded) {
             item->needs_locate = true;
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -306,9 +306,11 @@
         }
         return;
     }
-    bool ran = event.kind == event_kind::ended &&
-               event.report.state != task_state::stopped;
-    if (!ran) {
+    if (event.kind != event_kind::ended) {
+        return;
+    }
+    if (event.report.state == task_state::stopped) {
+        remember_stopped(event);
         return;
     }
     bool open = item && item->at != stage::answered;
@@ -334,6 +336,21 @@
     m_context.intake->settle(item, value);
 }
 
+// Another VM's task began and did not end by itself; whoever asks about the id
+// must know that it ran.
+void runner::remember_stopped(const dispatch::event& event) {
+    if (m_context.book.find(event.task)) {
+        return;
+    }
+    entry_ptr item = m_context.book.add(event.task);
+    item->request.repeatable = event.report.repeatable;
+    item->at = stage::placed;
+    item->ran = true;
+    item->ever_sent = true;
+    m_context.intake->settle(
+        item, make_answer(base::outcome::unknown, event.report.reason));
+}
+
 void runner::on_task_end(const entry_ptr& item, const dispatch::event& event) {
     item->open_tasks.erase(event.task);
     bool gang = item->request.tasks > 1;
