--- a/fuzz/fuzz_main.cpp
+++ b/fuzz/fuzz_main.cpp
@@ -45,7 +45,8 @@
                 item.samples[random() % item.samples.size()];
             item.run(mutate(sample, random));
         }
-        std::cout << item.name << ": " << FLAGS_rounds << " inputs" << std::endl;
+        std::cout << item.name << ": " << FLAGS_rounds << " inputs"
+                  << std::endl;
     }
     return 0;
 }
--- a/include/eelgrasslever/dispatch/fleet.hpp
+++ b/include/eelgrasslever/dispatch/fleet.hpp
@@ -56,8 +56,7 @@
     void advance(base::instant now, std::vector<outgoing_call>& calls);
     /// Collects the calls that are due where something changed since the last
     /// time; cheap enough for every event.
-    void advance_changed(base::instant now,
-                         std::vector<outgoing_call>& calls);
+    void advance_changed(base::instant now, std::vector<outgoing_call>& calls);
     void on_reply(const std::string& endpoint, const endpoint::call& call,
                   const endpoint::reply& reply, base::instant now);
 
--- a/include/eelgrasslever/node/jobs.hpp
+++ b/include/eelgrasslever/node/jobs.hpp
@@ -6,6 +6,9 @@
 #include "eelgrasslever/journal/entry.hpp"
 #include "eelgrasslever/node/context.hpp"
 
+#include <functional>
+#include <optional>
+
 namespace eelgrasslever::node {
 
 class jobs {
@@ -46,6 +49,9 @@
     void release(const std::string& id);
     [[nodiscard]] bool home_is_over(const std::string& home) const;
     void submit_task(const std::string& id, job& at, int index);
+    [[nodiscard]] std::function<
+        std::optional<journal::entry>(const journal::entry*)>
+    progress_change(const job& at, bool stay_home) const;
     void save(const std::string& id, job& at);
     void complete(const std::string& id, job& at);
     void consider(const std::string& id, const journal::entry& found);
--- a/src/node/jobs.cpp
+++ b/src/node/jobs.cpp
@@ -181,14 +181,12 @@
     }
 }
 
-void jobs::save(const std::string& id, job& at) {
-    at.dirty = false;
-    at.next_save = m_context.now + save_period;
-    journal::operation op;
-    op.id = id;
-    op.change =
-        [this, ranges = journal::to_ranges(at.finished), failed = at.failed](
-            const journal::entry* present) -> std::optional<journal::entry> {
+// Writes progress while the journal still names this member as the home.
+std::function<std::optional<journal::entry>(const journal::entry*)>
+jobs::progress_change(const job& at, bool stay_home) const {
+    return [this, stay_home, ranges = journal::to_ranges(at.finished),
+            failed = at.failed](
+               const journal::entry* present) -> std::optional<journal::entry> {
         bool mine = present != nullptr && !present->final_answer &&
                     present->home == m_context.config.id;
         if (!mine) {
@@ -197,8 +195,19 @@
         journal::entry next = *present;
         next.finished = ranges;
         next.failed_tasks = failed;
+        if (!stay_home) {
+            next.home.clear();
+        }
         return next;
     };
+}
+
+void jobs::save(const std::string& id, job& at) {
+    at.dirty = false;
+    at.next_save = m_context.now + save_period;
+    journal::operation op;
+    op.id = id;
+    op.change = progress_change(at, true);
     op.done = [this, id](journal::commit_result result,
                          const journal::entry* present) {
         auto found = m_jobs.find(id);
@@ -360,20 +369,7 @@
     for (auto& [id, at] : all) {
         journal::operation op;
         op.id = id;
-        op.change = [this, ranges = journal::to_ranges(at.finished),
-                     failed = at.failed](const journal::entry* present)
-            -> std::optional<journal::entry> {
-            bool mine = present != nullptr && !present->final_answer &&
-                        present->home == m_context.config.id;
-            if (!mine) {
-                return std::nullopt;
-            }
-            journal::entry next = *present;
-            next.finished = ranges;
-            next.failed_tasks = failed;
-            next.home.clear();
-            return next;
-        };
+        op.change = progress_change(at, false);
         op.done = [](journal::commit_result, const journal::entry*) {};
         m_context.recorder->submit(std::move(op));
     }
--- a/tests/dispatch/session_test.cpp
+++ b/tests/dispatch/session_test.cpp
@@ -49,6 +49,18 @@
             at.on_reply(item.call, with.handle(item.call, now), now, events);
         }
     }
+    /// Sends what is due; nothing is heard of it before the timeout.
+    /// @return the start among it.
+    endpoint::call lose_calls(instant now) {
+        endpoint::call start;
+        for (const auto& item : advance(now)) {
+            if (item.call.kind == endpoint::call_kind::start) {
+                start = item.call;
+            }
+            at.on_reply(item.call, {}, now + milliseconds(990), events);
+        }
+        return start;
+    }
     int count(event_kind kind, const std::string& task = "") const {
         int out = 0;
         for (const dispatch::event& item : events) {
@@ -88,14 +100,7 @@
     a.exchange(endpoint, ms(0));
     a.at.reserve(task_of("t", 50));
     a.at.start("t");
-    auto calls = a.advance(ms(10));
-    endpoint::call lost_start;
-    for (const auto& item : calls) {
-        if (item.call.kind == endpoint::call_kind::start) {
-            lost_start = item.call;
-        }
-        a.at.on_reply(item.call, {}, ms(1000), a.events);
-    }
+    auto lost_start = a.lose_calls(ms(10));
     a.exchange(endpoint, ms(1010));
     BOOST_TEST(a.count(event_kind::not_started, "t") == 1);
     // The start arrives after all, with the epoch that is over.
@@ -168,13 +173,7 @@
     a.exchange(endpoint, ms(0));
     a.at.reserve(task_of("t", 50));
     a.at.start("t");
-    endpoint::call lost_start;
-    for (const auto& item : a.advance(ms(10))) {
-        if (item.call.kind == endpoint::call_kind::start) {
-            lost_start = item.call;
-        }
-        a.at.on_reply(item.call, {}, ms(1000), a.events);
-    }
+    auto lost_start = a.lose_calls(ms(10));
     endpoint_config config;
     config.capacity = {2, 1000, 1000, 0};
     config.boot = 2;
