--- a/include/eelgrasslever/base/resources.hpp
+++ b/include/eelgrasslever/base/resources.hpp
@@ -31,12 +31,6 @@
 /// @return the larger of each amount.
 [[nodiscard]] resources component_max(const resources& a, const resources& b);
 
-/// @return the amounts multiplied by @p count.
-[[nodiscard]] resources times(const resources& amount, std::int64_t count);
-
-/// @return whether any amount is below zero.
-[[nodiscard]] bool any_negative(const resources& amount);
-
 void to_json(nlohmann::json& out, const resources& in);
 void from_json(const nlohmann::json& in, resources& out);
 
--- a/include/eelgrasslever/dispatch/fleet.hpp
+++ b/include/eelgrasslever/dispatch/fleet.hpp
@@ -69,10 +69,6 @@
         return m_sessions;
     }
     [[nodiscard]] fleet_totals totals() const;
-    /// @return whether the endpoint is held and in the index for placement.
-    [[nodiscard]] const placement::capacity_tree& index() const {
-        return m_tree;
-    }
 
   private:
     void refresh(session& at);
--- a/include/eelgrasslever/dispatch/session.hpp
+++ b/include/eelgrasslever/dispatch/session.hpp
@@ -31,8 +31,6 @@
     endpoint::task_spec spec;
     task_phase phase{task_phase::reserved};
     admission::reclaim_level reclaimed_as{admission::reclaim_level::none};
-    std::string group; ///< request whose tasks start together
-    std::string team;
     base::milliseconds expected_run{0};
 };
 
--- a/include/eelgrasslever/journal/shard.hpp
+++ b/include/eelgrasslever/journal/shard.hpp
@@ -49,8 +49,6 @@
     [[nodiscard]] std::size_t waiting() const {
         return m_waiting.size() + m_committing.size();
     }
-    /// @return bytes of the value as last read or written.
-    [[nodiscard]] std::size_t value_bytes() const { return m_value_bytes; }
 
   private:
     void on_read(const store::reply& reply);
--- a/src/base/resources.cpp
+++ b/src/base/resources.cpp
@@ -33,16 +33,6 @@
             std::max(a.accelerators, b.accelerators)};
 }
 
-resources times(const resources& amount, std::int64_t count) {
-    return {amount.slots * count, amount.cpu_milli * count,
-            amount.memory_mb * count, amount.accelerators * count};
-}
-
-bool any_negative(const resources& amount) {
-    return amount.slots < 0 || amount.cpu_milli < 0 || amount.memory_mb < 0 ||
-           amount.accelerators < 0;
-}
-
 void to_json(nlohmann::json& out, const resources& in) {
     out = {{"slots", in.slots},
            {"cpu_milli", in.cpu_milli},
--- a/src/node/runner.cpp
+++ b/src/node/runner.cpp
@@ -140,8 +140,6 @@
         task.spec.tier = bundle::to_string(team.service_tier);
         task.spec.repeatable = request.repeatable;
         task.spec.traceparent = request.traceparent;
-        task.group = request.id;
-        task.team = request.team;
         task.expected_run = work.expected_run;
         task.reclaimed_as = request.repeatable
                                 ? kind.reclaimed_as(team.service_tier)
