--- a/include/eelgrasslever/base/time.hpp
+++ b/include/eelgrasslever/base/time.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace eelgrasslever::base {
 
@@ -19,4 +20,20 @@
         std::chrono::steady_clock::now());
 }
 
+/// @return time since boot, which unlike `monotonic_now` also counts time that
+/// the VM spent suspended. For leases that others rely upon.
+[[nodiscard]] inline instant uptime_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return instant(std::chrono::duration_cast<milliseconds>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+/// @return the time of day, which may be stepped.
+[[nodiscard]] inline std::chrono::sys_time<milliseconds> wall_now() {
+    return std::chrono::time_point_cast<milliseconds>(
+        std::chrono::system_clock::now());
+}
+
 } // namespace eelgrasslever::base
--- /dev/null
+++ b/include/eelgrasslever/cluster/job_desk.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// Answers clients on any VM: accepts jobs, tells their state, cancels them.
+#pragma once
+
+#include "eelgrasslever/cluster/job_book.hpp"
+#include "eelgrasslever/coordination/committer.hpp"
+#include "eelgrasslever/coordination/store.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace eelgrasslever::cluster {
+
+enum class submit_result {
+    accepted,  ///< stored, now or by an earlier attempt
+    refused,   ///< not stored and never will be by this attempt
+    uncertain, ///< may have been stored; the client should ask again
+};
+
+enum class cancel_result { cancelled, unknown_job, unavailable };
+
+struct state_result {
+    /// Nothing where the store could not be asked.
+    std::optional<workload::job_state> state;
+    bool unknown_job{false};
+};
+
+class job_desk : public std::enable_shared_from_this<job_desk> {
+  public:
+    /// Left of a client's deadline for the way back of the answer.
+    static constexpr base::milliseconds answer_margin{150};
+
+    job_desk(coordination::store& at, const job_book& book,
+             std::shared_ptr<coordination::committer> writer);
+
+    /// Stores @p job unless it is known. @p done runs once.
+    /// @param deadline until when the client waits.
+    void submit(workload::job job, base::instant deadline,
+                std::function<void(submit_result)> done);
+    void cancel(const std::string& id, base::instant deadline,
+                std::function<void(cancel_result)> done);
+    void state(const std::string& id,
+               std::function<void(const state_result&)> done);
+
+  private:
+    static void settle(const coordination::commit_outcome& outcome,
+                       const std::function<void(submit_result)>& done);
+    void write_cancel(const std::string& id, base::instant deadline,
+                      std::function<void(cancel_result)> done);
+    /// Asks the store whether @p id was ever accepted and is still kept.
+    void look_up(const std::string& id,
+                 std::function<void(const state_result&)> done);
+    void look_up_end(const std::string& id,
+                     std::function<void(const state_result&)> done);
+
+    coordination::store& m_store;
+    const job_book& m_book;
+    std::shared_ptr<coordination::committer> m_writer;
+};
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/include/eelgrasslever/cluster/queue_table.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// The configuration in force: which queue a path selects.
+#pragma once
+
+#include "eelgrasslever/workload/job.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace eelgrasslever::cluster {
+
+struct queue_route {
+    std::string host;   ///< without a port
+    std::string prefix; ///< begins and ends with "/"
+    workload::queue_policy queue;
+};
+
+/// One version of the configuration; replaced as a whole.
+class queue_table {
+  public:
+    queue_table() = default;
+    queue_table(std::uint64_t version, std::vector<queue_route> routes);
+
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    [[nodiscard]] std::size_t size() const { return m_count; }
+    /// @return the route of the longest prefix of @p path, or nullptr.
+    [[nodiscard]] const queue_route* find(const std::string& host,
+                                          const std::string& path) const;
+
+  private:
+    std::uint64_t m_version{0};
+    std::size_t m_count{0};
+    /// By host, then by prefix.
+    std::map<std::string, std::map<std::string, queue_route>> m_routes;
+};
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -0,0 +1,189 @@
+/// @file
+/// The leader's decisions: which task runs where and when. No I/O and no
+/// clock; replies and the present instant are passed in.
+#pragma once
+
+#include "eelgrasslever/cluster/advice_desk.hpp"
+#include "eelgrasslever/cluster/endpoint_health.hpp"
+#include "eelgrasslever/cluster/endpoint_run.hpp"
+#include "eelgrasslever/cluster/fit.hpp"
+#include "eelgrasslever/cluster/job_book.hpp"
+#include "eelgrasslever/cluster/job_run.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrasslever::cluster {
+
+struct scheduler_limits {
+    /// Longest lease that an endpoint grants. Source: its protocol.
+    base::milliseconds max_lease{6000};
+    /// How long a leader goes on ordering without a confirmed lease.
+    base::milliseconds authority{6000};
+    /// Share of each endpoint kept free of work that is not urgent, so that
+    /// urgent work starts at once. Source: urgent work's share of the offered
+    /// load at both deployments, doubled for bursts.
+    double urgent_headroom{0.15};
+};
+
+/// Under which right a scheduler orders, and what it inherits.
+struct scheduler_mandate {
+    fencing_token token{0};
+    int run_base{0};
+    /// Endpoints that earlier leaders may have used.
+    std::vector<std::string> roster;
+    base::instant since{};
+};
+
+class scheduler {
+  public:
+    scheduler(scheduler_effects& effects, scheduler_limits limits,
+              scheduler_mandate mandate);
+
+    // What the store says.
+    void on_listed(const endpoint_listing& listing, base::instant now);
+    void on_unlisted(const std::string& endpoint, base::instant now);
+    void on_job(const job_entry& entry, bool inherited, base::instant now);
+    void on_cancel(const std::string& job, base::instant now);
+    void on_recorded(const std::string& job, std::uint64_t version,
+                     base::instant now);
+    void on_record_failed(const std::string& job, base::instant now);
+    void on_roster_recorded(const std::vector<std::string>& endpoints);
+    void set_channels(const std::vector<std::string>& vms, base::instant now);
+
+    // Replies to orders.
+    void on_started(const std::string& endpoint, const start_order& order,
+                    const order_reply& reply, base::instant now);
+    void on_stopped(const std::string& endpoint, const stop_order& order,
+                    const order_reply& reply, base::instant now);
+    void on_held(const std::string& endpoint, const hold_reply& reply,
+                 base::instant now);
+    void on_advice(std::uint64_t query, const advice_reply& reply,
+                   base::instant now);
+
+    /// Acts on all that is due. @p may_order: whether this VM may still give
+    /// orders; without it nothing is sent.
+    void tick(base::instant now, std::chrono::sys_time<base::milliseconds> wall,
+              bool may_order);
+
+    struct totals {
+        std::size_t jobs{0};
+        std::size_t endpoints_usable{0};
+        std::size_t running{0};
+        std::size_t waiting{0};
+        base::resources capacity;
+        base::resources used;
+    };
+    [[nodiscard]] totals count(base::instant now) const;
+    [[nodiscard]] const std::map<std::string, endpoint_run>& endpoints() const {
+        return m_endpoints;
+    }
+
+  private:
+    /// Orders the steps that wait: priority, then age.
+    struct rank {
+        int priority{0};
+        base::instant since{};
+        std::string job;
+        int occurrence{0};
+        int step{0};
+        auto operator<=>(const rank&) const = default;
+    };
+    /// Endpoints kept for a gang that waits for room.
+    struct reservation {
+        rank holder;
+        std::set<std::string> endpoints;
+    };
+    struct job_state {
+        std::unique_ptr<job_run> run;
+        std::uint64_t recorded{0};
+        std::uint64_t in_flight{0};
+        base::instant record_at{};
+        bool dirty{false};
+    };
+
+    // Jobs.
+    void unlock(job_state& job, base::instant now);
+    void touch(job_state& job, base::instant record_at);
+    void end_job(job_state& job, workload::job_state how,
+                 const std::string& why, base::instant now);
+    void complete_if_done(job_state& job, base::instant now);
+    void flush_records(base::instant now);
+    void requeue(const task_key& key, int run, const std::string& checkpoint,
+                 base::instant now);
+    void stop_elsewhere(const task_key& key, const std::string& except,
+                        base::instant now);
+    void stop_gang(const task_key& member, int run, base::instant now);
+    job_state* find_job(const std::string& id);
+    [[nodiscard]] bool is_gang(const task_key& key);
+
+    // Endpoints.
+    void release_run(endpoint_run& at, const run_key& key);
+    void take_end(endpoint_run& at, const ended_task& end, base::instant now);
+    void apply_end(endpoint_run& at, const ended_task& end, job_state& job,
+                   base::instant now);
+    void take_running(endpoint_run& at, const running_task& row,
+                      base::instant now);
+    void adopt(endpoint_run& at, const running_task& row, base::instant now);
+    void resolve_missing(endpoint_run& at, const std::set<run_key>& running,
+                         base::instant now);
+    void drop_all_runs(endpoint_run& at, const char* why, base::instant now);
+    void release_recorded_ends(endpoint_run& at, base::instant now);
+    void check_lease(endpoint_run& at, base::instant now);
+    void hold_if_due(endpoint_run& at, base::instant now);
+    void stop_run(endpoint_run& at, const run_key& key, base::instant now);
+    void retry_stops(endpoint_run& at, base::instant now);
+    void send_stop(endpoint_run& at, const run_key& key, allocation& run,
+                   base::instant now);
+    void keep_roster();
+    [[nodiscard]] bool usable(const endpoint_run& at, base::instant now) const;
+    [[nodiscard]] bool inventory_complete(base::instant now) const;
+
+    // Placement.
+    void place_all(base::instant now);
+    bool place_step(const rank& at, base::instant now);
+    void place_each(job_state& job, const rank& at, step_run& step,
+                    base::instant now);
+    bool place_gang(job_state& job, const rank& at, step_run& step,
+                    base::instant now);
+    void start_task(job_state& job, const task_key& key, int run,
+                    const std::string& checkpoint, endpoint_run& at,
+                    base::instant now);
+    [[nodiscard]] std::vector<fit_candidate>
+    candidates(const job_state& job, const rank& at, const step_run& step,
+               base::instant now, bool ticketed) const;
+    [[nodiscard]] base::resources room_for(const endpoint_run& at,
+                                           const rank& step) const;
+    [[nodiscard]] int tasks_of_step(const endpoint_run& at,
+                                    const rank& step) const;
+    void want_advice(job_state& job, const rank& at, step_run& step,
+                     int missing, base::instant now);
+    void reserve(const job_state& job, const rank& at, const step_run& step,
+                 base::instant now);
+    void unreserve(const rank& at);
+    [[nodiscard]] bool reserved_by_other(const std::string& endpoint,
+                                         const rank& at) const;
+
+    scheduler_effects& m_effects;
+    scheduler_limits m_limits;
+    scheduler_mandate m_mandate;
+    std::unordered_map<std::string, job_state> m_jobs;
+    std::map<std::string, endpoint_run> m_endpoints;
+    std::set<std::string> m_roster; ///< as stored
+    std::vector<std::string> m_roster_in_flight;
+    std::set<std::string> m_uninventoried; ///< inherited, not yet looked at
+    std::set<rank> m_ready;
+    std::vector<reservation> m_reservations;
+    std::set<std::string> m_dirty;
+    advice_desk m_desk;
+    endpoint_health m_health;
+    bool m_place_needed{true};
+    base::instant m_placed_at{};
+    bool m_may_order{true};
+};
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/include/eelgrasslever/coordination/committer.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// Group commit: one transaction under way, what arrives meanwhile goes with
+/// the next one.
+#pragma once
+
+#include "eelgrasslever/coordination/store.hpp"
+#include "eelgrasslever/kernel/loop.hpp"
+
+#include <deque>
+#include <memory>
+
+namespace eelgrasslever::coordination {
+
+/// What became of a proposal.
+struct commit_outcome {
+    coordination::status status{status::unreachable};
+    coordination::revision revision{absent};
+    /// On a conflict: the present state of the proposal's own conditions.
+    std::vector<item> current;
+    /// Some attempt got no reply, so that the change may yet take effect
+    /// unless one of its conditions no longer holds.
+    bool uncertain{false};
+};
+
+/// A change that is applied as a whole or not at all.
+struct proposal {
+    transaction change;
+    base::instant give_up_at{}; ///< no attempt is begun after this
+    std::function<void(const commit_outcome&)> done;
+};
+
+class committer : public std::enable_shared_from_this<committer> {
+  public:
+    /// @param shared conditions that every transaction carries.
+    committer(kernel::loop& owner, store& to,
+              std::vector<condition> shared = {});
+
+    void submit(proposal next);
+    void stop();
+    [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+
+  private:
+    struct entry {
+        proposal value;
+        bool uncertain{false};
+    };
+    void flush();
+    void finish(std::vector<entry> batch, const commit_reply& reply);
+    void on_conflict(std::vector<entry> batch, const commit_reply& reply);
+    void retry_later(std::vector<entry> batch, const commit_reply& reply);
+    [[nodiscard]] bool shared_failed(const commit_reply& reply) const;
+
+    kernel::loop& m_owner;
+    store& m_store;
+    std::vector<condition> m_shared;
+    std::deque<entry> m_queue;
+    kernel::timer m_timer;
+    bool m_in_flight{false};
+    bool m_stopped{false};
+    bool m_scheduled{false};
+    std::size_t m_failures{0}; ///< calls in a row that did not get through
+};
+
+} // namespace eelgrasslever::coordination
--- a/include/eelgrasslever/http/message.hpp
+++ b/include/eelgrasslever/http/message.hpp
@@ -36,6 +36,8 @@
 /// What came back for a `call`.
 struct reply {
     bool reached{false}; ///< false: no complete response; effects are unknown
+    /// Where not reached: no connection came about, so nothing was sent.
+    bool never_sent{false};
     int status{0};
     std::string body;
     std::string failure; ///< transport error text where not reached
--- a/include/eelgrasslever/observe/log.hpp
+++ b/include/eelgrasslever/observe/log.hpp
@@ -10,7 +10,7 @@
 
 using log_fields = std::vector<std::pair<std::string, std::string>>;
 
-/// Starts glog for this process; lines go to standard error.
+/// Starts glog for this process; lines go to standard output.
 void start_logging(const std::string& program);
 
 /// @return "event=NAME key=value ..." with values quoted where needed.
--- /dev/null
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -0,0 +1,145 @@
+/// @file
+/// One VM of the cluster: follows the store, answers clients, and orders the
+/// endpoints while it leads.
+#pragma once
+
+#include "eelgrasslever/cluster/job_book.hpp"
+#include "eelgrasslever/cluster/job_desk.hpp"
+#include "eelgrasslever/cluster/queue_table.hpp"
+#include "eelgrasslever/cluster/scheduler.hpp"
+#include "eelgrasslever/coordination/committer.hpp"
+#include "eelgrasslever/coordination/election.hpp"
+#include "eelgrasslever/coordination/follower.hpp"
+#include "eelgrasslever/coordination/session.hpp"
+#include "eelgrasslever/daemon/peer_links.hpp"
+#include "eelgrasslever/observe/metrics.hpp"
+#include "eelgrasslever/service/gateways.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace eelgrasslever::service {
+
+/// Reads the records of others in the store; nothing where one is unreadable.
+struct foreign_records {
+    std::string registry_prefix;
+    std::string configuration_prefix;
+    std::function<std::optional<cluster::endpoint_listing>(
+        const coordination::item&)>
+        read_endpoint;
+    std::function<std::optional<cluster::queue_table>(
+        const coordination::item&)>
+        read_configuration;
+};
+
+struct cluster_options {
+    std::string vm;
+    std::string peer_address; ///< "IP:port" for other VMs
+    std::string incarnation;  ///< differs for each start of the process
+    cluster::scheduler_limits limits;
+};
+
+class cluster_service final : public cluster::scheduler_effects {
+  public:
+    cluster_service(kernel::loop& owner, cluster_options options,
+                    coordination::store& store, endpoint_gateway& endpoints,
+                    advice_gateway& advice, foreign_records records,
+                    observe::metrics& metrics);
+    ~cluster_service() override;
+    cluster_service(const cluster_service&) = delete;
+    cluster_service& operator=(const cluster_service&) = delete;
+
+    [[nodiscard]] base::result<void> start();
+    /// Gives leadership up and takes no more part; clients are still answered.
+    void drain();
+    /// Ends this VM's lease.
+    void leave();
+
+    /// @return the configuration in force, or nullptr before the first.
+    [[nodiscard]] const cluster::queue_table* queues() const;
+    [[nodiscard]] cluster::job_desk& desk() { return *m_desk; }
+    [[nodiscard]] const cluster::job_book& book() const { return m_book; }
+    /// Whether this VM can serve new clients.
+    [[nodiscard]] bool ready(base::instant now) const;
+    /// Whether the store answered lately, so that a job can be accepted.
+    [[nodiscard]] bool store_reachable() const;
+    void refresh_gauges();
+
+    // scheduler_effects
+    void start(const cluster::endpoint_listing& at,
+               cluster::fencing_token token,
+               const cluster::start_order& order) override;
+    void stop(const cluster::endpoint_listing& at, cluster::fencing_token token,
+              const cluster::stop_order& order) override;
+    void hold(const cluster::endpoint_listing& at, cluster::fencing_token token,
+              const cluster::hold_order& order, bool fresh_connection) override;
+    void ask_advice(const std::string& channel,
+                    const cluster::advice_call& call) override;
+    void record(const std::string& job, std::uint64_t version,
+                const std::string& progress, bool terminal) override;
+    void record_roster(const std::vector<std::string>& endpoints) override;
+    void on_fenced(const std::string& endpoint) override;
+
+  private:
+    void on_book_item(const coordination::item& change);
+    void on_registry_item(const coordination::item& change);
+    void on_configuration_item(const coordination::item& change);
+    void on_member_item(const coordination::item& change);
+    void on_won(const coordination::leadership& mandate);
+    void begin_leading(std::uint64_t reign);
+    void on_lost();
+    void on_recorded(const std::string& job, std::uint64_t version,
+                     const std::string& progress,
+                     const coordination::proposal& attempt,
+                     const coordination::commit_outcome& outcome);
+    void on_peer(daemon::peer_spoke&& message);
+    void answer_advice(const std::string& reply_to,
+                       const wire::advice_request& request);
+    void tick();
+    void tick_soon();
+    void collect_garbage();
+    void send(const std::string& address, wire::message content);
+    /// Runs @p act with the scheduler of @p reign if that still leads.
+    template <typename Act>
+    void with_scheduler(std::uint64_t reign, Act act);
+
+    kernel::loop& m_owner;
+    cluster_options m_options;
+    coordination::store& m_store;
+    endpoint_gateway& m_endpoints;
+    advice_gateway& m_advice;
+    foreign_records m_records;
+    observe::metrics& m_metrics;
+    cluster::job_book m_book;
+    std::unique_ptr<cluster::queue_table> m_queues;
+    std::shared_ptr<coordination::follower> m_book_follower;
+    std::shared_ptr<coordination::follower> m_registry_follower;
+    std::shared_ptr<coordination::follower> m_configuration_follower;
+    std::shared_ptr<coordination::session> m_session;
+    std::shared_ptr<coordination::election> m_election;
+    std::shared_ptr<coordination::committer> m_writer;
+    std::shared_ptr<cluster::job_desk> m_desk;
+    kernel::mailbox<daemon::to_scheduler> m_peer_inbox;
+    std::unique_ptr<daemon::peer_links> m_links;
+    std::map<std::string, std::string> m_members; ///< VM to peer address
+    std::map<std::string, cluster::endpoint_listing> m_listings;
+    std::vector<std::string> m_roster;
+    kernel::timer m_tick_timer;
+    kernel::timer m_slow_timer;
+    base::instant m_ticked_at{};
+    bool m_tick_scheduled{false};
+    bool m_drained{false};
+
+    // While leading.
+    std::uint64_t m_reign{0};
+    std::optional<coordination::leadership> m_mandate;
+    std::unique_ptr<cluster::scheduler> m_scheduler;
+    std::shared_ptr<coordination::committer> m_recorder;
+    std::unordered_map<std::string, coordination::revision> m_progress_at;
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+};
+
+} // namespace eelgrasslever::service
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -101,8 +101,27 @@
     std::string request_id;
 };
 
-using message = std::variant<heartbeat, holdings, document, locate, located,
-                             settled, forward, cancel>;
+/// Asks the receiver to call the advice service for the sender.
+struct advice_request {
+    std::uint64_t query{0};
+    std::string job;
+    std::int32_t occurrence{0};
+    std::int32_t step{0};
+    std::vector<std::string> candidates; ///< endpoints
+    base::milliseconds timeout{0};
+};
+
+/// What the advice service said; `tickets` goes with `endpoints`.
+struct advice_response {
+    std::uint64_t query{0};
+    bool answered{false};
+    std::vector<std::string> endpoints;
+    std::vector<std::string> tickets;
+};
+
+using message =
+    std::variant<heartbeat, holdings, document, locate, located, settled,
+                 forward, cancel, advice_request, advice_response>;
 
 /// A message with its sender, "VM@incarnation".
 struct envelope {
--- /dev/null
+++ b/src/cluster/job_book.cpp
@@ -0,0 +1,128 @@
+#include "eelgrasslever/cluster/job_book.hpp"
+
+#include "eelgrasslever/observe/log.hpp"
+#include "eelgrasslever/workload/codec.hpp"
+
+#include <algorithm>
+
+namespace eelgrasslever::cluster {
+
+namespace {
+
+/// @return the part of @p key behind @p prefix, or nothing.
+std::optional<std::string> behind(const std::string& key, const char* prefix) {
+    std::string_view start = prefix;
+    if (!key.starts_with(start)) {
+        return std::nullopt;
+    }
+    return key.substr(start.size());
+}
+
+void report_unreadable(const std::string& key, const base::error& why) {
+    observe::log_error("record_unreadable",
+                       {{"key", key}, {"why", why.message()}});
+}
+
+} // namespace
+
+job_book::change job_book::apply(const coordination::item& record,
+                                 base::instant now) {
+    if (auto id = behind(record.key, keys::job)) {
+        return apply_job(*id, record);
+    }
+    if (auto id = behind(record.key, keys::progress)) {
+        return apply_progress(*id, record, now);
+    }
+    if (auto id = behind(record.key, keys::cancel)) {
+        return apply_cancel(*id, record);
+    }
+    return {};
+}
+
+job_book::change job_book::apply_job(const std::string& id,
+                                     const coordination::item& record) {
+    if (record.deleted) {
+        auto found = m_jobs.find(id);
+        if (found != m_jobs.end()) {
+            found->second.job.reset();
+            found->second.job_revision = coordination::absent;
+        }
+        drop_if_empty(id);
+        return {};
+    }
+    auto decoded = workload::decode_job(record.value, id);
+    if (!decoded) {
+        report_unreadable(record.key, decoded.error());
+        return {};
+    }
+    job_entry& entry = m_jobs[id];
+    entry.job = std::make_shared<const workload::job>(*std::move(decoded));
+    entry.job_revision = record.revision;
+    return {book_change::accepted, id};
+}
+
+job_book::change job_book::apply_progress(const std::string& id,
+                                          const coordination::item& record,
+                                          base::instant now) {
+    if (record.deleted) {
+        auto found = m_jobs.find(id);
+        if (found != m_jobs.end()) {
+            found->second.progress = {};
+            found->second.progress_revision = coordination::absent;
+        }
+        drop_if_empty(id);
+        return {book_change::removed, id};
+    }
+    auto decoded = workload::decode_progress(record.value, id);
+    if (!decoded) {
+        report_unreadable(record.key, decoded.error());
+        return {};
+    }
+    job_entry& entry = m_jobs[id];
+    if (workload::is_terminal(decoded->state) &&
+        !workload::is_terminal(entry.progress.state)) {
+        entry.ended_at = now;
+    }
+    entry.progress = *std::move(decoded);
+    entry.progress_revision = record.revision;
+    return {book_change::progressed, id};
+}
+
+job_book::change job_book::apply_cancel(const std::string& id,
+                                        const coordination::item& record) {
+    if (record.deleted) {
+        auto found = m_jobs.find(id);
+        if (found != m_jobs.end()) {
+            found->second.cancel_requested = false;
+        }
+        drop_if_empty(id);
+        return {};
+    }
+    m_jobs[id].cancel_requested = true;
+    return {book_change::cancel_requested, id};
+}
+
+void job_book::drop_if_empty(const std::string& id) {
+    auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && !found->second.job &&
+        found->second.progress_revision == coordination::absent &&
+        !found->second.cancel_requested) {
+        m_jobs.erase(found);
+    }
+}
+
+const job_entry* job_book::find(const std::string& id) const {
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::size_t job_book::pending(const std::string& queue) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& row) {
+            const job_entry& entry = row.second;
+            return entry.job && entry.job->queue.name == queue &&
+                   entry.progress.state == workload::job_state::queued;
+        }));
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/cluster/job_desk.cpp
@@ -0,0 +1,146 @@
+#include "eelgrasslever/cluster/job_desk.hpp"
+
+#include "eelgrasslever/workload/codec.hpp"
+
+#include <utility>
+
+namespace eelgrasslever::cluster {
+
+using coordination::status;
+
+job_desk::job_desk(coordination::store& at, const job_book& book,
+                   std::shared_ptr<coordination::committer> writer)
+    : m_store(at), m_book(book), m_writer(std::move(writer)) {}
+
+void job_desk::submit(workload::job job, base::instant deadline,
+                      std::function<void(submit_result)> done) {
+    const std::string id = job.id;
+    if (const job_entry* known = m_book.find(id);
+        known != nullptr &&
+        (known->job || known->progress_revision != coordination::absent)) {
+        done(submit_result::accepted);
+        return;
+    }
+    coordination::proposal next;
+    // Two attempts at one id meet here, whichever VMs they reach. The progress
+    // outlives the job's record, so that a late attempt is known as well.
+    next.change.conditions.push_back({keys::job + id, coordination::absent});
+    next.change.conditions.push_back(
+        {keys::progress + id, coordination::absent});
+    next.change.puts.push_back(
+        {keys::job + id, workload::encode(job), coordination::no_lease});
+    next.give_up_at = deadline - answer_margin;
+    next.done = [self = shared_from_this(),
+                 done](const coordination::commit_outcome& outcome) {
+        self->settle(outcome, done);
+    };
+    m_writer->submit(std::move(next));
+}
+
+void job_desk::settle(const coordination::commit_outcome& outcome,
+                      const std::function<void(submit_result)>& done) {
+    switch (outcome.status) {
+    case status::ok:
+    case status::conflict: // the id is stored already
+        done(submit_result::accepted);
+        return;
+    case status::not_found:
+    case status::refused:
+        done(outcome.uncertain ? submit_result::uncertain
+                               : submit_result::refused);
+        return;
+    case status::history_lost:
+    case status::unreachable:
+        done(submit_result::uncertain);
+        return;
+    }
+}
+
+void job_desk::cancel(const std::string& id, base::instant deadline,
+                      std::function<void(cancel_result)> done) {
+    const job_entry* known = m_book.find(id);
+    if (known != nullptr && workload::is_terminal(known->progress.state)) {
+        done(cancel_result::cancelled);
+        return;
+    }
+    if (known != nullptr && known->job) {
+        write_cancel(id, deadline, std::move(done));
+        return;
+    }
+    look_up(id, [self = shared_from_this(), id, deadline,
+                 done](const state_result& found) {
+        if (found.unknown_job) {
+            done(cancel_result::unknown_job);
+        } else if (!found.state) {
+            done(cancel_result::unavailable);
+        } else if (workload::is_terminal(*found.state)) {
+            done(cancel_result::cancelled);
+        } else {
+            self->write_cancel(id, deadline, done);
+        }
+    });
+}
+
+void job_desk::write_cancel(const std::string& id, base::instant deadline,
+                            std::function<void(cancel_result)> done) {
+    coordination::proposal next;
+    next.change.conditions.push_back({keys::cancel + id, coordination::absent});
+    next.change.puts.push_back(
+        {keys::cancel + id, "1", coordination::no_lease});
+    next.give_up_at = deadline - answer_margin;
+    next.done = [done](const coordination::commit_outcome& outcome) {
+        bool stored =
+            outcome.status == status::ok || outcome.status == status::conflict;
+        done(stored ? cancel_result::cancelled : cancel_result::unavailable);
+    };
+    m_writer->submit(std::move(next));
+}
+
+void job_desk::state(const std::string& id,
+                     std::function<void(const state_result&)> done) {
+    const job_entry* known = m_book.find(id);
+    if (known != nullptr &&
+        (known->job || known->progress_revision != coordination::absent)) {
+        state_result out;
+        out.state = known->progress.state;
+        done(out);
+        return;
+    }
+    look_up(id, std::move(done));
+}
+
+// The job's record goes in the change that stores its end, so that of the two
+// keys, read in this order, one is found for each job that is kept.
+void job_desk::look_up(const std::string& id,
+                       std::function<void(const state_result&)> done) {
+    m_store.read(keys::job + id, [self = shared_from_this(), id,
+                                  done](const coordination::read_reply& in) {
+        if (in.status == status::not_found) {
+            self->look_up_end(id, done);
+            return;
+        }
+        state_result out;
+        if (in.status == status::ok) {
+            out.state = workload::job_state::queued;
+        }
+        done(out);
+    });
+}
+
+void job_desk::look_up_end(const std::string& id,
+                           std::function<void(const state_result&)> done) {
+    m_store.read(
+        keys::progress + id, [id, done](const coordination::read_reply& in) {
+            state_result out;
+            out.unknown_job = in.status == status::not_found;
+            if (in.status == status::ok) {
+                auto progress = workload::decode_progress(in.item.value, id);
+                if (progress) {
+                    out.state = progress->state;
+                }
+            }
+            done(out);
+        });
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/cluster/queue_table.cpp
@@ -0,0 +1,34 @@
+#include "eelgrasslever/cluster/queue_table.hpp"
+
+#include <utility>
+
+namespace eelgrasslever::cluster {
+
+queue_table::queue_table(std::uint64_t version, std::vector<queue_route> routes)
+    : m_version(version), m_count(routes.size()) {
+    for (queue_route& route : routes) {
+        std::string prefix = route.prefix;
+        m_routes[route.host][prefix] = std::move(route);
+    }
+}
+
+const queue_route* queue_table::find(const std::string& host,
+                                     const std::string& path) const {
+    auto at_host = m_routes.find(host.substr(0, host.find(':')));
+    if (at_host == m_routes.end()) {
+        return nullptr;
+    }
+    // A path has few segments, so each of its prefixes is looked up.
+    for (std::size_t end = path.size(); end > 0; --end) {
+        if (path[end - 1] != '/' && end != path.size()) {
+            continue;
+        }
+        auto found = at_host->second.find(path.substr(0, end));
+        if (found != at_host->second.end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/cluster/scheduler.cpp
@@ -0,0 +1,100 @@
+#include "eelgrasslever/cluster/scheduler.hpp"
+
+#include "eelgrasslever/observe/log.hpp"
+
+#include <algorithm>
+
+namespace eelgrasslever::cluster {
+
+namespace {
+
+/// Longest pause between two looks for room while work waits.
+constexpr base::milliseconds placement_period{50};
+
+} // namespace
+
+scheduler::scheduler(scheduler_effects& effects, scheduler_limits limits,
+                     scheduler_mandate mandate)
+    : m_effects(effects), m_limits(limits), m_mandate(std::move(mandate)) {
+    m_roster.insert(m_mandate.roster.begin(), m_mandate.roster.end());
+    m_uninventoried = m_roster;
+}
+
+void scheduler::tick(base::instant now,
+                     std::chrono::sys_time<base::milliseconds> wall,
+                     bool may_order) {
+    if (m_may_order != may_order) {
+        observe::log_event(may_order ? "ordering_resumed" : "ordering_paused",
+                           {{"token", std::to_string(m_mandate.token)}});
+    }
+    m_may_order = may_order;
+    flush_records(now);
+    for (auto& call : m_desk.take_expired(now)) {
+        if (job_state* job = find_job(call.step.job)) {
+            if (step_run* step =
+                    job->run->find_step(call.step.occurrence, call.step.step)) {
+                step->advice.in_flight = false;
+            }
+        }
+        m_place_needed = true;
+    }
+    for (auto& [id, at] : m_endpoints) {
+        check_lease(at, now);
+    }
+    if (!m_uninventoried.empty() && inventory_complete(now)) {
+        observe::log_event(
+            "inventory_bound_passed",
+            {{"unseen", std::to_string(m_uninventoried.size())}});
+        m_uninventoried.clear();
+    }
+    std::erase_if(m_endpoints, [&](const auto& row) {
+        return row.second.gone && row.second.runs.empty();
+    });
+    for (auto& [id, job] : m_jobs) {
+        if (job.run->job().repeat_count > 0 && !job.run->ended() &&
+            job.run->open_due_occurrences(wall, now)) {
+            unlock(job, now);
+        }
+    }
+    if (!may_order) {
+        return;
+    }
+    for (auto& [id, at] : m_endpoints) {
+        retry_stops(at, now);
+        hold_if_due(at, now);
+    }
+    if (m_place_needed || now - m_placed_at >= placement_period) {
+        place_all(now);
+    }
+}
+
+void scheduler::set_channels(const std::vector<std::string>& vms,
+                             base::instant now) {
+    m_desk.set_channels(vms, now);
+    m_place_needed = true;
+}
+
+scheduler::totals scheduler::count(base::instant now) const {
+    totals out;
+    out.jobs = m_jobs.size();
+    for (const auto& [id, at] : m_endpoints) {
+        if (usable(at, now)) {
+            out.endpoints_usable++;
+            out.capacity += at.listing.capacity;
+        }
+        out.used += at.used;
+        out.running += at.runs.size();
+    }
+    for (const rank& r : m_ready) {
+        auto found = m_jobs.find(r.job);
+        const step_run* step =
+            found == m_jobs.end()
+                ? nullptr
+                : found->second.run->find_step(r.occurrence, r.step);
+        out.waiting +=
+            step == nullptr ? 0 : static_cast<std::size_t>(step->waiting);
+    }
+    return out;
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/cluster/scheduler_jobs.cpp
@@ -0,0 +1,261 @@
+#include "eelgrasslever/cluster/scheduler.hpp"
+#include "eelgrasslever/observe/log.hpp"
+#include "eelgrasslever/workload/codec.hpp"
+
+#include <algorithm>
+
+namespace eelgrasslever::cluster {
+
+namespace {
+
+/// How long the end of a task waits so that others go with it. The endpoint
+/// repeats the end until it is stored, which costs a call each time.
+constexpr base::milliseconds group_ends{40};
+/// How long the first start of a job waits. Source: a queue's pending count
+/// may be 2 s old.
+constexpr base::milliseconds group_starts{700};
+/// Pause before a task is run again whose run failed.
+constexpr base::milliseconds failed_pause{100};
+
+} // namespace
+
+scheduler::job_state* scheduler::find_job(const std::string& id) {
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+bool scheduler::is_gang(const task_key& key) {
+    job_state* job = find_job(key.job);
+    if (job == nullptr ||
+        job->run->find_step(key.occurrence, key.step) == nullptr) {
+        return false;
+    }
+    return job->run->job().steps[static_cast<std::size_t>(key.step)].gang;
+}
+
+void scheduler::on_job(const job_entry& entry, bool inherited,
+                       base::instant now) {
+    if (!entry.job || m_jobs.contains(entry.job->id) ||
+        workload::is_terminal(entry.progress.state)) {
+        return;
+    }
+    job_state& job = m_jobs[entry.job->id];
+    job.run = std::make_unique<job_run>(entry.job, entry.progress,
+                                        m_mandate.run_base, now);
+    job.run->inherited = inherited;
+    job.run->open_due_occurrences(base::wall_now(), now);
+    unlock(job, now);
+    complete_if_done(job, now);
+    if (entry.cancel_requested) {
+        on_cancel(entry.job->id, now);
+    }
+    m_place_needed = true;
+}
+
+void scheduler::unlock(job_state& job, base::instant now) {
+    const workload::job& spec = job.run->job();
+    for (const auto& [occurrence, step] : job.run->unlock_steps(now)) {
+        m_ready.insert(rank{spec.queue.priority, job.run->seen_at(), spec.id,
+                            occurrence, step});
+    }
+    m_place_needed = true;
+}
+
+void scheduler::touch(job_state& job, base::instant record_at) {
+    job.record_at = job.dirty ? std::min(job.record_at, record_at) : record_at;
+    job.dirty = true;
+    m_dirty.insert(job.run->job().id);
+}
+
+void scheduler::flush_records(base::instant now) {
+    for (auto it = m_dirty.begin(); it != m_dirty.end();) {
+        job_state* job = find_job(*it);
+        if (job == nullptr) {
+            it = m_dirty.erase(it);
+            continue;
+        }
+        if (job->in_flight != 0 || job->record_at > now) {
+            ++it;
+            continue;
+        }
+        job->in_flight = job->run->version();
+        job->dirty = false;
+        m_effects.record(*it, job->run->version(),
+                         workload::encode(job->run->progress()),
+                         job->run->ended());
+        it = m_dirty.erase(it);
+    }
+}
+
+void scheduler::on_recorded(const std::string& id, std::uint64_t version,
+                            base::instant now) {
+    job_state* job = find_job(id);
+    if (job == nullptr) {
+        return;
+    }
+    job->recorded = std::max(job->recorded, version);
+    job->in_flight = 0;
+    if (job->run->version() > job->recorded) {
+        touch(*job, now);
+    }
+    for (auto& [name, at] : m_endpoints) {
+        release_recorded_ends(at, now);
+    }
+    if (job->run->ended() && job->recorded == job->run->version()) {
+        m_jobs.erase(id);
+        m_dirty.erase(id);
+    }
+}
+
+void scheduler::on_record_failed(const std::string& id, base::instant now) {
+    if (job_state* job = find_job(id)) {
+        job->in_flight = 0;
+        touch(*job, now + failed_pause);
+    }
+}
+
+void scheduler::on_cancel(const std::string& id, base::instant now) {
+    job_state* job = find_job(id);
+    if (job == nullptr || job->run->ended()) {
+        return;
+    }
+    end_job(*job, workload::job_state::cancelled, "cancelled by its client",
+            now);
+}
+
+void scheduler::end_job(job_state& job, workload::job_state how,
+                        const std::string& why, base::instant now) {
+    const std::string id = job.run->job().id;
+    observe::log_event(
+        "job_ended",
+        {{"job", id},
+         {"state", workload::to_string(how)},
+         {"why", why},
+         {"age_ms", std::to_string((now - job.run->seen_at()).count())}});
+    job.run->finish(how, why);
+    touch(job, now);
+    for (const auto& [number, occurrence] : job.run->occurrences()) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            rank at{job.run->job().queue.priority, job.run->seen_at(), id,
+                    number, static_cast<int>(s)};
+            m_ready.erase(at);
+            unreserve(at);
+        }
+    }
+    m_place_needed = true;
+    if (how == workload::job_state::completed) {
+        return;
+    }
+    for (auto& [name, at] : m_endpoints) {
+        for (auto& [key, run] : at.runs) {
+            if (key.task.job == id) {
+                stop_run(at, key, now);
+            }
+        }
+    }
+}
+
+void scheduler::complete_if_done(job_state& job, base::instant now) {
+    if (!job.run->ended() && job.run->all_complete()) {
+        end_job(job, workload::job_state::completed, "all tasks are done", now);
+    }
+}
+
+void scheduler::requeue(const task_key& key, int run,
+                        const std::string& checkpoint, base::instant now) {
+    job_state* job = find_job(key.job);
+    if (job == nullptr || job->run->ended()) {
+        return;
+    }
+    task_run* task = job->run->find_task(key);
+    if (task == nullptr) {
+        return;
+    }
+    const workload::step& spec =
+        job->run->job().steps[static_cast<std::size_t>(key.step)];
+    if (!checkpoint.empty() && spec.checkpointing) {
+        task->checkpoint = checkpoint;
+    }
+    if (task->phase != task_phase::active || task->run != run) {
+        return;
+    }
+    job->run->mark_waiting(key);
+    m_ready.insert(rank{job->run->job().queue.priority, job->run->seen_at(),
+                        key.job, key.occurrence, key.step});
+    m_place_needed = true;
+    if (spec.gang) {
+        stop_gang(key, run, now);
+    }
+}
+
+void scheduler::stop_elsewhere(const task_key& key, const std::string& except,
+                               base::instant now) {
+    for (auto& [name, at] : m_endpoints) {
+        if (name == except) {
+            continue;
+        }
+        for (auto& [run, state] : at.runs) {
+            if (run.task == key) {
+                stop_run(at, run, now);
+            }
+        }
+    }
+}
+
+// A gang that lost a member can't finish.
+void scheduler::stop_gang(const task_key& member, int run, base::instant now) {
+    for (auto& [name, at] : m_endpoints) {
+        for (auto& [key, state] : at.runs) {
+            if (key.run == run && key.task.job == member.job &&
+                key.task.occurrence == member.occurrence &&
+                key.task.step == member.step) {
+                stop_run(at, key, now);
+            }
+        }
+    }
+}
+
+void scheduler::apply_end(endpoint_run& at, const ended_task& end,
+                          job_state& job, base::instant now) {
+    job_run& run = *job.run;
+    task_run* task = run.find_task(end.task);
+    const workload::step& spec =
+        run.job().steps[static_cast<std::size_t>(end.task.step)];
+    if (end.how == end_kind::done && !spec.long_running) {
+        m_health.on_done(at.listing.id);
+        if (spec.gang) {
+            for (int i = 0; i < spec.count; ++i) {
+                task_key member = end.task;
+                member.index = i;
+                run.mark_done(member);
+            }
+        } else {
+            stop_elsewhere(end.task, at.listing.id, now);
+            run.mark_done(end.task);
+        }
+        touch(job, now + group_ends);
+        unlock(job, now);
+        complete_if_done(job, now);
+        return;
+    }
+    if (task->phase == task_phase::done) {
+        return;
+    }
+    bool exhausted = false;
+    if (end.how == end_kind::failed) {
+        m_health.on_failed(at.listing.id, task->failures > 0, now);
+        exhausted = run.count_failure(end.task, end.run);
+        task->not_before = now + failed_pause;
+        touch(job, now + group_ends);
+    }
+    if (exhausted) {
+        end_job(job, workload::job_state::failed,
+                "task " + workload::to_string(end.task) +
+                    " has used up its attempts",
+                now);
+        return;
+    }
+    requeue(end.task, end.run, end.checkpoint, now);
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/cluster/scheduler_placement.cpp
@@ -0,0 +1,440 @@
+#include "eelgrasslever/cluster/scheduler.hpp"
+#include "eelgrasslever/observe/log.hpp"
+
+#include <algorithm>
+
+namespace eelgrasslever::cluster {
+
+namespace {
+
+/// A start that is not carried out within this time is refused by the
+/// endpoint. Source: the sites' latest orders are carried out 2 s late or
+/// more, and a start that late is better made elsewhere.
+constexpr base::milliseconds start_window{1500};
+/// Taken off a ticket's life for the way to the endpoint.
+constexpr base::milliseconds ticket_margin{150};
+/// A call for advice may take this much longer than its declared time.
+constexpr base::milliseconds advice_slack{600};
+/// Pause before advice is asked again for a step that got none.
+constexpr base::milliseconds advice_retry{100};
+/// Endpoints that one call for advice may name. Source: the service's limit.
+constexpr std::size_t advice_candidates = 100;
+/// More is asked for than is needed by this factor, as rooms change meanwhile.
+constexpr double advice_surplus = 1.25;
+/// Share of the fleet that waiting gangs may keep free at a time.
+constexpr double reserved_share = 0.5;
+/// Steps looked at in one pass; bounds the time of a pass under overload.
+constexpr int steps_a_pass = 200;
+
+bool has_ticket(const step_advice& advice, base::instant now) {
+    return std::any_of(
+        advice.admitted.begin(), advice.admitted.end(),
+        [&](const auto& row) { return row.second.valid_until > now; });
+}
+
+} // namespace
+
+void scheduler::place_all(base::instant now) {
+    m_place_needed = false;
+    m_placed_at = now;
+    std::vector<rank> order(m_ready.begin(), m_ready.end());
+    int looked_at = 0;
+    for (const rank& at : order) {
+        if (looked_at++ >= steps_a_pass) {
+            break;
+        }
+        if (place_step(at, now)) {
+            m_ready.erase(at);
+            unreserve(at);
+        }
+    }
+}
+
+/// @return whether no task of the step waits any more.
+bool scheduler::place_step(const rank& at, base::instant now) {
+    job_state* job = find_job(at.job);
+    step_run* step =
+        job == nullptr ? nullptr : job->run->find_step(at.occurrence, at.step);
+    if (step == nullptr || job->run->ended() || step->waiting == 0) {
+        return true;
+    }
+    if (job->run->inherited && !inventory_complete(now)) {
+        return false;
+    }
+    // Most waiting steps can only wait for advice; they are passed over
+    // cheaply.
+    bool can_ask = !step->advice.in_flight && step->advice.ask_after <= now &&
+                   m_desk.idle_count(now) > 0;
+    if (job->run->job().queue.advice && !can_ask &&
+        !has_ticket(step->advice, now)) {
+        return false;
+    }
+    const workload::step& spec =
+        job->run->job().steps[static_cast<std::size_t>(at.step)];
+    if (spec.gang) {
+        return place_gang(*job, at, *step, now);
+    }
+    place_each(*job, at, *step, now);
+    return step->waiting == 0;
+}
+
+base::resources scheduler::room_for(const endpoint_run& at,
+                                    const rank& step) const {
+    base::resources room = at.free();
+    if (step.priority > 0) {
+        room.cpu_milli -= static_cast<std::int64_t>(
+            static_cast<double>(at.listing.capacity.cpu_milli) *
+            m_limits.urgent_headroom);
+    }
+    return room;
+}
+
+int scheduler::tasks_of_step(const endpoint_run& at, const rank& step) const {
+    return static_cast<int>(
+        std::count_if(at.runs.begin(), at.runs.end(), [&](const auto& row) {
+            const task_key& key = row.first.task;
+            return key.job == step.job && key.occurrence == step.occurrence &&
+                   key.step == step.step;
+        }));
+}
+
+bool scheduler::reserved_by_other(const std::string& endpoint,
+                                  const rank& at) const {
+    return std::any_of(m_reservations.begin(), m_reservations.end(),
+                       [&](const reservation& r) {
+                           return r.holder < at &&
+                                  r.endpoints.contains(endpoint);
+                       });
+}
+
+std::vector<fit_candidate> scheduler::candidates(const job_state& job,
+                                                 const rank& at,
+                                                 const step_run& step,
+                                                 base::instant now,
+                                                 bool ticketed) const {
+    const workload::job& spec = job.run->job();
+    const workload::step& it = spec.steps[static_cast<std::size_t>(at.step)];
+    std::vector<fit_candidate> out;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.listing.service != spec.queue.service ||
+            !usable(endpoint, now) || reserved_by_other(id, at)) {
+            continue;
+        }
+        const auto& labels = endpoint.listing.labels;
+        if (!it.required_label.empty() &&
+            std::find(labels.begin(), labels.end(), it.required_label) ==
+                labels.end()) {
+            continue;
+        }
+        if (spec.queue.advice) {
+            auto ticket = step.advice.admitted.find(id);
+            bool valid = ticket != step.advice.admitted.end() &&
+                         ticket->second.valid_until > now;
+            if (valid != ticketed || step.advice.rejected.contains(id)) {
+                continue;
+            }
+        } else if (!ticketed) {
+            continue;
+        }
+        int left = it.count;
+        if (it.max_per_endpoint > 0) {
+            left = it.max_per_endpoint - tasks_of_step(endpoint, at);
+        }
+        if (left < 1) {
+            continue;
+        }
+        out.push_back(
+            {id, endpoint.listing.rack, room_for(endpoint, at), left,
+             it.data_rack.empty() || it.data_rack == endpoint.listing.rack});
+    }
+    return out;
+}
+
+void scheduler::place_each(job_state& job, const rank& at, step_run& step,
+                           base::instant now) {
+    const workload::step& spec =
+        job.run->job().steps[static_cast<std::size_t>(at.step)];
+    std::vector<int> waiting;
+    for (int i = 0; i < spec.count; ++i) {
+        const task_run& task = step.tasks[static_cast<std::size_t>(i)];
+        if (task.phase == task_phase::waiting && task.not_before <= now) {
+            waiting.push_back(i);
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    auto rooms = candidates(job, at, step, now, true);
+    auto chosen = fit_each(spec.need, static_cast<int>(waiting.size()), rooms);
+    for (std::size_t k = 0; k < chosen.size(); ++k) {
+        task_key key{at.job, at.occurrence, at.step, waiting[k]};
+        task_run* task = job.run->find_task(key);
+        start_task(job, key, job.run->next_run(*task), task->checkpoint,
+                   m_endpoints.at(rooms[chosen[k]].endpoint), now);
+    }
+    int missing = static_cast<int>(waiting.size() - chosen.size());
+    if (missing > 0) {
+        want_advice(job, at, step, missing, now);
+    }
+}
+
+bool scheduler::place_gang(job_state& job, const rank& at, step_run& step,
+                           base::instant now) {
+    const workload::step& spec =
+        job.run->job().steps[static_cast<std::size_t>(at.step)];
+    int open = spec.count - step.done;
+    if (step.waiting < open) {
+        // Members of an earlier run are still being stopped.
+        task_key member{at.job, at.occurrence, at.step, 0};
+        for (const task_run& task : step.tasks) {
+            if (task.phase == task_phase::active) {
+                stop_gang(member, task.run, now);
+            }
+        }
+        return false;
+    }
+    int run = 0;
+    std::string checkpoint;
+    for (const task_run& task : step.tasks) {
+        if (task.not_before > now) {
+            return false;
+        }
+        run = std::max(run, job.run->next_run(task));
+        // The text grows with the work that it holds.
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    auto rooms = candidates(job, at, step, now, true);
+    auto chosen = fit_together(spec.need, open, rooms, spec.same_rack);
+    if (chosen.empty()) {
+        want_advice(job, at, step, open, now);
+        reserve(job, at, step, now);
+        return false;
+    }
+    std::size_t k = 0;
+    for (int i = 0; i < spec.count; ++i) {
+        if (step.tasks[static_cast<std::size_t>(i)].phase == task_phase::done) {
+            continue;
+        }
+        task_key key{at.job, at.occurrence, at.step, i};
+        start_task(job, key, run, checkpoint,
+                   m_endpoints.at(rooms[chosen[k++]].endpoint), now);
+    }
+    return true;
+}
+
+void scheduler::start_task(job_state& job, const task_key& key, int run,
+                           const std::string& checkpoint, endpoint_run& at,
+                           base::instant now) {
+    const workload::step& spec =
+        job.run->job().steps[static_cast<std::size_t>(key.step)];
+    const step_run* step = job.run->find_step(key.occurrence, key.step);
+    allocation taken;
+    taken.run = run;
+    taken.need = spec.need;
+    taken.started_at = now;
+    taken.percent_changed_at = now;
+    taken.void_after = now + start_window + start_window / 10;
+    at.used += spec.need;
+    at.order_count++;
+    at.runs[{key, run}] = taken;
+    start_order order;
+    order.task = key;
+    order.run = run;
+    order.payload = job.run->job().payload;
+    order.start_before = at.clock_at(now) + start_window;
+    at.lease_end = std::max(at.lease_end, order.start_before);
+    order.checkpoint = checkpoint;
+    auto ticket = step->advice.admitted.find(at.listing.id);
+    if (ticket != step->advice.admitted.end()) {
+        order.ticket = ticket->second.text;
+    }
+    observe::log_event(
+        "task_start",
+        {{"task", workload::to_string(key)},
+         {"run", std::to_string(run)},
+         {"endpoint", at.listing.id},
+         {"waited_ms", std::to_string((now - step->unlocked_at).count())},
+         {"free_cpu", std::to_string(at.free().cpu_milli)},
+         {"seen_ms_ago", std::to_string((now - at.last_reply).count())}});
+    job.run->mark_active(key, run, at.listing.id);
+    if (job.run->progress().state == workload::job_state::queued) {
+        job.run->mark_started();
+        constexpr base::milliseconds started_record_delay{700};
+        touch(job, now + started_record_delay);
+    }
+    m_effects.start(at.listing, m_mandate.token, order);
+}
+
+void scheduler::want_advice(job_state& job, const rank& at, step_run& step,
+                            int missing, base::instant now) {
+    const workload::queue_policy& queue = job.run->job().queue;
+    if (!queue.advice || step.advice.in_flight || step.advice.ask_after > now) {
+        return;
+    }
+    auto channel = m_desk.idle_channel(now);
+    if (!channel) {
+        return;
+    }
+    const workload::step& spec =
+        job.run->job().steps[static_cast<std::size_t>(at.step)];
+    double share = m_desk.share(queue.name).value();
+    bool know_some = !step.advice.admitted.empty();
+    // A gang first learns which endpoints may run it, with room or without:
+    // the room is then waited for where it counts.
+    bool explore = spec.gang && !know_some;
+    struct option {
+        std::string endpoint;
+        int fits;
+        bool admitted;
+    };
+    std::vector<option> options;
+    for (const fit_candidate& it : candidates(job, at, step, now, false)) {
+        int fits = tasks_that_fit(spec.need, it.room, it.slots_left);
+        bool admitted = step.advice.admitted.contains(it.endpoint);
+        if (fits > 0 || explore) {
+            options.push_back({it.endpoint, fits, admitted});
+        }
+    }
+    std::sort(
+        options.begin(), options.end(), [](const option& a, const option& b) {
+            return std::tie(a.admitted, a.fits) > std::tie(b.admitted, b.fits);
+        });
+    double expected = 0.0;
+    if (spec.gang) {
+        for (const fit_candidate& it : candidates(job, at, step, now, true)) {
+            expected += tasks_that_fit(spec.need, it.room, it.slots_left);
+        }
+    }
+    double wanted = static_cast<double>(missing) * advice_surplus;
+    std::vector<std::string> asked;
+    for (const option& it : options) {
+        if ((expected >= wanted && !explore) ||
+            asked.size() >= advice_candidates) {
+            break;
+        }
+        asked.push_back(it.endpoint);
+        expected += it.fits * (it.admitted ? 1.0 : share);
+    }
+    if (asked.empty() ||
+        (spec.gang && !explore && expected < static_cast<double>(missing))) {
+        return;
+    }
+    advice_call call;
+    auto work = queue.advice->decision +
+                std::chrono::duration_cast<base::milliseconds>(
+                    queue.advice->per_candidate * asked.size());
+    call.timeout = work + advice_slack;
+    call.step = {at.job, at.occurrence, at.step, 0};
+    call.candidates = asked;
+    call.query = m_desk.begin(*channel, call.step, asked,
+                              call.timeout + advice_slack, now);
+    step.advice.in_flight = true;
+    observe::log_event("advice_asked",
+                       {{"step", workload::to_string(call.step)},
+                        {"query", std::to_string(call.query)},
+                        {"channel", *channel},
+                        {"candidates", std::to_string(asked.size())},
+                        {"missing", std::to_string(missing)}});
+    m_effects.ask_advice(*channel, call);
+}
+
+void scheduler::on_advice(std::uint64_t query, const advice_reply& reply,
+                          base::instant now) {
+    auto call = m_desk.end(query, reply.answered, now);
+    if (!call) {
+        return;
+    }
+    m_place_needed = true;
+    observe::log_event(
+        "advice",
+        {{"step", workload::to_string(call->step)},
+         {"query", std::to_string(query)},
+         {"answered", reply.answered ? "1" : "0"},
+         {"admitted", std::to_string(reply.admitted.size())},
+         {"asked", std::to_string(call->candidates.size())},
+         {"took_ms", std::to_string((now - call->asked_at).count())}});
+    job_state* job = find_job(call->step.job);
+    step_run* step = job == nullptr ? nullptr
+                                    : job->run->find_step(call->step.occurrence,
+                                                          call->step.step);
+    if (step == nullptr) {
+        return;
+    }
+    step->advice.in_flight = false;
+    const workload::queue_policy& queue = job->run->job().queue;
+    if (!reply.answered || !queue.advice) {
+        step->advice.ask_after = now + advice_retry;
+        return;
+    }
+    auto until = now + queue.advice->valid - ticket_margin;
+    std::size_t unknown = 0;
+    std::size_t newly = 0;
+    std::set<std::string> admitted;
+    for (const auto& [id, text] : reply.admitted) {
+        newly += step->advice.admitted.contains(id) ? 0 : 1;
+        step->advice.admitted[id] = {text, until};
+        admitted.insert(id);
+    }
+    for (const std::string& id : call->candidates) {
+        if (!admitted.contains(id)) {
+            unknown++;
+            step->advice.admitted.erase(id);
+            step->advice.rejected.insert(id);
+        }
+    }
+    m_desk.share(queue.name).add(unknown + newly, newly);
+}
+
+// Keeps what a gang may use free of work that comes behind it.
+void scheduler::reserve(const job_state& job, const rank& at,
+                        const step_run& step, base::instant now) {
+    unreserve(at);
+    if (job.run->job().queue.advice && step.advice.admitted.empty()) {
+        return;
+    }
+    std::size_t taken = 0;
+    for (const reservation& r : m_reservations) {
+        taken += r.endpoints.size();
+    }
+    auto bound = static_cast<std::size_t>(
+        static_cast<double>(m_endpoints.size()) * reserved_share);
+    const workload::step& spec =
+        job.run->job().steps[static_cast<std::size_t>(at.step)];
+    std::vector<fit_candidate> all = candidates(job, at, step, now, true);
+    if (job.run->job().queue.advice) {
+        for (fit_candidate& it : candidates(job, at, step, now, false)) {
+            if (step.advice.admitted.contains(it.endpoint)) {
+                all.push_back(std::move(it));
+            }
+        }
+    }
+    std::sort(all.begin(), all.end(),
+              [](const fit_candidate& a, const fit_candidate& b) {
+                  return a.room.cpu_milli > b.room.cpu_milli;
+              });
+    reservation mine{at, {}};
+    int room = 0;
+    for (const fit_candidate& it : all) {
+        if (room >= spec.count || taken + mine.endpoints.size() >= bound) {
+            break;
+        }
+        base::resources empty = m_endpoints.at(it.endpoint).listing.capacity;
+        empty.cpu_milli -= static_cast<std::int64_t>(
+            static_cast<double>(empty.cpu_milli) * m_limits.urgent_headroom);
+        int fits = tasks_that_fit(spec.need, empty, it.slots_left);
+        if (fits > 0) {
+            room += fits;
+            mine.endpoints.insert(it.endpoint);
+        }
+    }
+    if (!mine.endpoints.empty()) {
+        m_reservations.push_back(std::move(mine));
+    }
+}
+
+void scheduler::unreserve(const rank& at) {
+    std::erase_if(m_reservations,
+                  [&](const reservation& r) { return r.holder == at; });
+}
+
+} // namespace eelgrasslever::cluster
--- /dev/null
+++ b/src/coordination/follower.cpp
@@ -0,0 +1,204 @@
+#include "eelgrasslever/coordination/follower.hpp"
+
+#include "eelgrasslever/observe/log.hpp"
+
+#include <utility>
+
+namespace eelgrasslever::coordination {
+
+follower::follower(kernel::loop& owner, store& from, std::string prefix,
+                   follower_times times, change_handler on_change,
+                   batch_handler on_batch)
+    : m_owner(owner), m_store(from), m_prefix(std::move(prefix)),
+      m_times(times), m_on_change(std::move(on_change)),
+      m_on_batch(std::move(on_batch)), m_timer(owner, [this] {
+          if (m_load_needed) {
+              load();
+          } else {
+              watch();
+          }
+      }) {}
+
+void follower::start() {
+    if (m_running) {
+        return;
+    }
+    m_running = true;
+    m_load_needed = true;
+    if (!m_in_flight) {
+        load();
+    }
+}
+
+void follower::stop() {
+    m_running = false;
+    m_loaded = false;
+    m_timer.cancel();
+    m_waiting.clear();
+}
+
+void follower::refresh(std::function<void()> done) {
+    m_waiting.push_back(std::move(done));
+    m_load_needed = true;
+    if (m_running && !m_in_flight) {
+        load();
+    }
+}
+
+void follower::schedule(base::milliseconds pause) {
+    if (m_running) {
+        m_timer.start_once(pause);
+    }
+}
+
+void follower::lost(const char* step, status why) {
+    if (m_connected) {
+        observe::log_event(
+            "follow_interrupted",
+            {{"prefix", m_prefix}, {"step", step}, {"why", to_string(why)}});
+    }
+    m_connected = false;
+    schedule(m_times.retry);
+}
+
+void follower::load() {
+    m_timer.cancel();
+    m_load_needed = false;
+    m_loading.clear();
+    m_served = std::exchange(m_waiting, {});
+    m_load_revision = absent;
+    m_call_at = base::monotonic_now();
+    load_page("");
+}
+
+void follower::load_page(const std::string& after) {
+    m_in_flight = true;
+    m_store.read_page(m_prefix, after,
+                      [self = shared_from_this()](const page_reply& reply) {
+                          self->m_in_flight = false;
+                          if (self->m_running) {
+                              self->on_page(reply);
+                          }
+                      });
+}
+
+void follower::on_page(const page_reply& reply) {
+    if (reply.status != status::ok) {
+        m_load_needed = true;
+        for (auto& waiter : m_served) {
+            m_waiting.push_back(std::move(waiter));
+        }
+        m_served.clear();
+        lost("load", reply.status);
+        return;
+    }
+    // Pages are no snapshot: what changed since the first one is watched.
+    if (m_load_revision == absent) {
+        m_load_revision = reply.revision;
+    }
+    for (const item& found : reply.items) {
+        m_loading[found.key] = found.revision;
+        apply(found);
+    }
+    if (reply.has_more && !reply.items.empty()) {
+        load_page(reply.items.back().key);
+        return;
+    }
+    finish_load();
+}
+
+void follower::finish_load() {
+    std::vector<std::string> vanished;
+    for (const auto& [key, at] : m_known) {
+        if (!m_loading.contains(key)) {
+            vanished.push_back(key);
+        }
+    }
+    for (const std::string& key : vanished) {
+        item gone;
+        gone.key = key;
+        gone.revision = m_load_revision;
+        gone.deleted = true;
+        apply(gone);
+    }
+    m_next = m_load_revision;
+    if (!m_connected) {
+        observe::log_event("follow_loaded",
+                           {{"prefix", m_prefix},
+                            {"keys", std::to_string(m_known.size())},
+                            {"revision", std::to_string(m_next)}});
+    }
+    m_loaded = true;
+    m_connected = true;
+    m_current_at = m_call_at;
+    m_on_batch();
+    for (auto& waiter : std::exchange(m_served, {})) {
+        waiter();
+    }
+    schedule(base::milliseconds(0));
+}
+
+void follower::watch() {
+    if (m_in_flight) {
+        return;
+    }
+    m_in_flight = true;
+    m_call_at = base::monotonic_now();
+    m_store.watch(m_prefix, m_next, m_times.watch_wait,
+                  [self = shared_from_this()](const watch_reply& reply) {
+                      self->m_in_flight = false;
+                      if (self->m_running) {
+                          self->on_watch(reply);
+                      }
+                  });
+}
+
+void follower::on_watch(const watch_reply& reply) {
+    if (reply.status == status::history_lost) {
+        observe::log_event(
+            "follow_history_lost",
+            {{"prefix", m_prefix}, {"after", std::to_string(m_next)}});
+        load();
+        return;
+    }
+    if (reply.status != status::ok) {
+        lost("watch", reply.status);
+        return;
+    }
+    if (!m_connected) {
+        observe::log_event("follow_resumed", {{"prefix", m_prefix}});
+    }
+    m_connected = true;
+    m_current_at = m_call_at;
+    for (const item& change : reply.changes) {
+        apply(change);
+    }
+    m_next = std::max(m_next, reply.revision);
+    if (!reply.changes.empty()) {
+        m_on_batch();
+    }
+    if (m_load_needed) {
+        load();
+        return;
+    }
+    schedule(reply.changes.empty() ? base::milliseconds(0) : m_times.cadence);
+}
+
+void follower::apply(const item& change) {
+    auto found = m_known.find(change.key);
+    if (found != m_known.end() && found->second >= change.revision &&
+        !(change.deleted && found->second == change.revision)) {
+        return;
+    }
+    if (change.deleted) {
+        if (found == m_known.end()) {
+            return;
+        }
+        m_known.erase(found);
+    } else {
+        m_known[change.key] = change.revision;
+    }
+    m_on_change(change);
+}
+
+} // namespace eelgrasslever::coordination
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -31,6 +31,7 @@
 
 void fill_result(transfer& item, CURLcode code) {
     item.result.reached = code == CURLE_OK;
+    item.result.never_sent = code == CURLE_COULDNT_CONNECT;
     if (code != CURLE_OK) {
         item.result.failure = curl_easy_strerror(code);
     }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -27,7 +27,7 @@
 void start_logging(const std::string& program) {
     static std::string name;
     name = program;
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
     google::InitGoogleLogging(name.c_str());
 }
 
--- /dev/null
+++ b/src/service/cluster_service.cpp
@@ -0,0 +1,596 @@
+#include "eelgrasslever/service/cluster_service.hpp"
+
+#include "eelgrasslever/base/json.hpp"
+#include "eelgrasslever/observe/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrasslever::service {
+
+using coordination::status;
+
+namespace {
+
+/// Shortest pause between two passes of the scheduler: events that arrive
+/// together are handled together.
+constexpr base::milliseconds tick_spacing{5};
+/// Longest pause; bounds how late a timeout is noticed.
+constexpr base::milliseconds tick_period{50};
+constexpr base::milliseconds slow_period{1000};
+/// How long the end of a job is kept. Source: clients may ask for 120 s.
+constexpr base::milliseconds ended_kept{180'000};
+/// Jobs removed in one round; bounds a round's writes to four transactions.
+constexpr std::size_t garbage_batch = 40;
+/// Without a view of the store that is this recent, a VM is not ready: clients
+/// are better served elsewhere. Source: a second more than one watch lasts.
+constexpr base::milliseconds stale_view{2500};
+/// How long a write of the leader is retried. Source: longer outages of the
+/// store end leadership, and the next leader reads the endpoints instead.
+constexpr base::milliseconds record_patience{10'000};
+/// Runs that a term may number for one task. Source: attempts are few; runs
+/// that are stopped or lost come no faster than one in a tenth of a second.
+constexpr int runs_a_term = 10'000;
+
+constexpr coordination::follower_times book_times{
+    .watch_wait = base::milliseconds(1000),
+    .cadence = base::milliseconds(40),
+    .retry = base::milliseconds(150)};
+/// Heartbeats change the registry all the time; a leaving endpoint must be
+/// known well within the 2 s that it is given.
+constexpr coordination::follower_times registry_times{
+    .watch_wait = base::milliseconds(1000),
+    .cadence = base::milliseconds(300),
+    .retry = base::milliseconds(150)};
+constexpr coordination::follower_times configuration_times{
+    .watch_wait = base::milliseconds(800),
+    .cadence = base::milliseconds(0),
+    .retry = base::milliseconds(150)};
+
+} // namespace
+
+cluster_service::cluster_service(kernel::loop& owner, cluster_options options,
+                                 coordination::store& store,
+                                 endpoint_gateway& endpoints,
+                                 advice_gateway& advice,
+                                 foreign_records records,
+                                 observe::metrics& metrics)
+    : m_owner(owner), m_options(std::move(options)), m_store(store),
+      m_endpoints(endpoints), m_advice(advice), m_records(std::move(records)),
+      m_metrics(metrics),
+      m_writer(std::make_shared<coordination::committer>(owner, store)),
+      m_desk(std::make_shared<cluster::job_desk>(store, m_book, m_writer)),
+      m_peer_inbox(owner,
+                   [this](daemon::to_scheduler&& message) {
+                       if (auto* spoke =
+                               std::get_if<daemon::peer_spoke>(&message)) {
+                           on_peer(std::move(*spoke));
+                       }
+                   }),
+      m_tick_timer(owner, [this] { tick(); }),
+      m_slow_timer(owner, [this] { collect_garbage(); }) {
+    using coordination::follower;
+    using coordination::item;
+    m_book_follower = std::make_shared<follower>(
+        owner, store, cluster::keys::root, book_times,
+        [this](const item& change) { on_book_item(change); },
+        [this] {
+            m_election->on_view_loaded();
+            tick_soon();
+        });
+    m_registry_follower = std::make_shared<follower>(
+        owner, store, m_records.registry_prefix, registry_times,
+        [this](const item& change) { on_registry_item(change); },
+        [this] { tick_soon(); });
+    m_configuration_follower = std::make_shared<follower>(
+        owner, store, m_records.configuration_prefix, configuration_times,
+        [this](const item& change) { on_configuration_item(change); }, [] {});
+    std::string member =
+        nlohmann::json{{"peer", m_options.peer_address}}.dump();
+    m_session = std::make_shared<coordination::session>(
+        owner, store, cluster::keys::member + m_options.vm, member,
+        coordination::session::handlers{
+            [this] { m_election->on_view_loaded(); },
+            [this] { m_election->on_lease_expired(); }});
+    m_election = std::make_shared<coordination::election>(
+        owner, store, *m_session, cluster::keys::leader, cluster::keys::term,
+        m_options.vm + "@" + m_options.incarnation,
+        coordination::election::handlers{
+            [this](const coordination::leadership& won) { on_won(won); },
+            [this](const char*) { on_lost(); }});
+}
+
+cluster_service::~cluster_service() {
+    *m_alive = false;
+}
+
+base::result<void> cluster_service::start() {
+    auto links = daemon::peer_links::listen(m_owner, m_options.peer_address,
+                                            m_peer_inbox);
+    if (!links) {
+        return tl::unexpected(links.error());
+    }
+    m_links = std::move(*links);
+    m_configuration_follower->start();
+    m_book_follower->start();
+    m_session->start();
+    m_slow_timer.start_every(slow_period);
+    return {};
+}
+
+void cluster_service::drain() {
+    if (m_drained) {
+        return;
+    }
+    m_drained = true;
+    m_election->resign();
+}
+
+void cluster_service::leave() {
+    m_session->stop();
+}
+
+const cluster::queue_table* cluster_service::queues() const {
+    return m_queues.get();
+}
+
+bool cluster_service::ready(base::instant now) const {
+    return !m_drained && m_queues && m_book_follower->loaded() &&
+           now - m_book_follower->current_at() < stale_view;
+}
+
+bool cluster_service::store_reachable() const {
+    return m_book_follower->connected();
+}
+
+void cluster_service::on_book_item(const coordination::item& change) {
+    if (change.key == cluster::keys::leader ||
+        change.key == cluster::keys::term) {
+        m_election->on_change(change);
+        return;
+    }
+    if (change.key.starts_with(cluster::keys::member)) {
+        on_member_item(change);
+        return;
+    }
+    if (change.key == cluster::keys::roster) {
+        auto listed = base::parse_object(change.value, "roster.read", "store");
+        m_roster.clear();
+        if (listed && listed->contains("endpoints") &&
+            listed->at("endpoints").is_array()) {
+            for (const auto& id : listed->at("endpoints")) {
+                if (id.is_string()) {
+                    m_roster.push_back(id.get<std::string>());
+                }
+            }
+        }
+        return;
+    }
+    auto now = base::monotonic_now();
+    auto meaning = m_book.apply(change, now);
+    if (!m_scheduler) {
+        return;
+    }
+    if (meaning.kind == cluster::book_change::accepted) {
+        m_scheduler->on_job(*m_book.find(meaning.id), false, now);
+    } else if (meaning.kind == cluster::book_change::cancel_requested) {
+        m_scheduler->on_cancel(meaning.id, now);
+    }
+}
+
+void cluster_service::on_member_item(const coordination::item& change) {
+    std::string vm =
+        change.key.substr(std::string(cluster::keys::member).size());
+    m_members.erase(vm);
+    if (!change.deleted) {
+        auto entry = base::parse_object(change.value, "member.read", vm);
+        if (entry) {
+            m_members[vm] = entry->value("peer", "");
+        }
+    }
+    observe::log_event(change.deleted ? "member_left" : "member_seen",
+                       {{"vm", vm}});
+    if (m_scheduler) {
+        std::vector<std::string> names;
+        for (const auto& [name, address] : m_members) {
+            names.push_back(name);
+        }
+        m_scheduler->set_channels(names, base::monotonic_now());
+    }
+}
+
+void cluster_service::on_registry_item(const coordination::item& change) {
+    std::string id = change.key.substr(m_records.registry_prefix.size());
+    auto now = base::monotonic_now();
+    std::optional<cluster::endpoint_listing> listing;
+    if (!change.deleted) {
+        listing = m_records.read_endpoint(change);
+    }
+    if (!listing) {
+        m_listings.erase(id);
+        if (m_scheduler) {
+            m_scheduler->on_unlisted(id, now);
+        }
+        return;
+    }
+    m_listings[id] = *listing;
+    if (m_scheduler) {
+        m_scheduler->on_listed(*listing, now);
+    }
+}
+
+void cluster_service::on_configuration_item(const coordination::item& change) {
+    auto next = m_records.read_configuration(change);
+    if (!next) {
+        return;
+    }
+    std::uint64_t present = m_queues ? m_queues->version() : 0;
+    bool newer = next->version() > present;
+    observe::log_event(newer ? "configuration_in_force"
+                             : "configuration_ignored",
+                       {{"version", std::to_string(next->version())},
+                        {"present", std::to_string(present)},
+                        {"queues", std::to_string(next->size())}});
+    if (newer) {
+        m_queues = std::make_unique<cluster::queue_table>(*std::move(next));
+    }
+}
+
+void cluster_service::on_won(const coordination::leadership& mandate) {
+    m_mandate = mandate;
+    std::uint64_t reign = ++m_reign;
+    m_registry_follower->start();
+    m_recorder = std::make_shared<coordination::committer>(
+        m_owner, m_store, std::vector{mandate.proof});
+    // The view may lag behind what the last leader did.
+    m_book_follower->refresh([this, reign, alive = m_alive] {
+        if (*alive && m_reign == reign && m_mandate) {
+            begin_leading(reign);
+        }
+    });
+}
+
+void cluster_service::begin_leading(std::uint64_t) {
+    auto now = base::monotonic_now();
+    cluster::scheduler_mandate mandate;
+    mandate.token = m_mandate->term;
+    mandate.run_base = static_cast<int>(m_mandate->term - 1) * runs_a_term;
+    mandate.roster = m_roster;
+    mandate.since = now;
+    m_progress_at.clear();
+    m_scheduler =
+        std::make_unique<cluster::scheduler>(*this, m_options.limits, mandate);
+    std::vector<std::string> names;
+    for (const auto& [name, address] : m_members) {
+        names.push_back(name);
+    }
+    m_scheduler->set_channels(names, now);
+    for (const auto& [id, listing] : m_listings) {
+        m_scheduler->on_listed(listing, now);
+    }
+    std::size_t open = 0;
+    for (const auto& [id, entry] : m_book.all()) {
+        if (entry.job) {
+            m_scheduler->on_job(entry, true, now);
+            open++;
+        }
+    }
+    observe::log_event("leading",
+                       {{"term", std::to_string(m_mandate->term)},
+                        {"jobs", std::to_string(open)},
+                        {"endpoints", std::to_string(m_listings.size())},
+                        {"roster", std::to_string(m_roster.size())}});
+    tick_soon();
+}
+
+void cluster_service::on_lost() {
+    m_reign++;
+    m_mandate.reset();
+    m_registry_follower->stop();
+    if (m_recorder) {
+        m_recorder->stop();
+    }
+    // The scheduler may be on the call stack.
+    auto old = std::make_shared<std::unique_ptr<cluster::scheduler>>(
+        std::move(m_scheduler));
+    m_owner.defer([old] { old->reset(); });
+}
+
+template <typename Act>
+void cluster_service::with_scheduler(std::uint64_t reign, Act act) {
+    if (m_reign != reign || !m_scheduler) {
+        return;
+    }
+    act(*m_scheduler, base::monotonic_now());
+    tick_soon();
+}
+
+void cluster_service::tick_soon() {
+    if (!m_scheduler || m_tick_scheduled) {
+        return;
+    }
+    m_tick_scheduled = true;
+    auto since = base::monotonic_now() - m_ticked_at;
+    m_tick_timer.start_once(
+        std::max(base::milliseconds(0), tick_spacing - since));
+}
+
+void cluster_service::tick() {
+    m_tick_scheduled = false;
+    if (!m_scheduler) {
+        return;
+    }
+    m_ticked_at = base::monotonic_now();
+    bool may_order = base::uptime_now() - m_session->confirmed_at() <
+                     m_options.limits.authority;
+    m_scheduler->tick(m_ticked_at, base::wall_now(), may_order);
+    if (!m_tick_scheduled) {
+        m_tick_timer.start_once(tick_period);
+    }
+}
+
+void cluster_service::start(const cluster::endpoint_listing& at,
+                            cluster::fencing_token token,
+                            const cluster::start_order& order) {
+    m_metrics.add("starts_ordered");
+    m_endpoints.start(at, token, order,
+                      [this, id = at.id, order,
+                       reign = m_reign](const cluster::order_reply& reply) {
+                          with_scheduler(reign, [&](auto& to, auto now) {
+                              to.on_started(id, order, reply, now);
+                          });
+                      });
+}
+
+void cluster_service::stop(const cluster::endpoint_listing& at,
+                           cluster::fencing_token token,
+                           const cluster::stop_order& order) {
+    m_metrics.add("stops_ordered");
+    m_endpoints.stop(at, token, order,
+                     [this, id = at.id, order,
+                      reign = m_reign](const cluster::order_reply& reply) {
+                         with_scheduler(reign, [&](auto& to, auto now) {
+                             to.on_stopped(id, order, reply, now);
+                         });
+                     });
+}
+
+void cluster_service::hold(const cluster::endpoint_listing& at,
+                           cluster::fencing_token token,
+                           const cluster::hold_order& order,
+                           bool fresh_connection) {
+    m_endpoints.hold(
+        at, token, order, fresh_connection,
+        [this, id = at.id, reign = m_reign](const cluster::hold_reply& reply) {
+            with_scheduler(
+                reign, [&](auto& to, auto now) { to.on_held(id, reply, now); });
+        });
+}
+
+void cluster_service::ask_advice(const std::string& channel,
+                                 const cluster::advice_call& call) {
+    m_metrics.add("advice_calls");
+    if (channel == m_options.vm) {
+        m_advice.ask(call, [this, query = call.query, reign = m_reign](
+                               const cluster::advice_reply& reply) {
+            with_scheduler(reign, [&](auto& to, auto now) {
+                to.on_advice(query, reply, now);
+            });
+        });
+        return;
+    }
+    wire::advice_request request;
+    // The reign keeps an answer to an earlier one from being taken.
+    request.query = (m_reign << 32) | call.query;
+    request.job = call.step.job;
+    request.occurrence = call.step.occurrence;
+    request.step = call.step.step;
+    request.candidates = call.candidates;
+    request.timeout = call.timeout;
+    send(m_members[channel], std::move(request));
+}
+
+void cluster_service::send(const std::string& address, wire::message content) {
+    if (address.empty()) {
+        return;
+    }
+    // Replies go to the sender's own peer address.
+    m_links->inbox().post(daemon::peer_send{
+        address, wire::encode({m_options.peer_address, std::move(content)})});
+}
+
+void cluster_service::on_peer(daemon::peer_spoke&& message) {
+    if (const auto* request =
+            std::get_if<wire::advice_request>(&message.content)) {
+        answer_advice(message.from, *request);
+        return;
+    }
+    const auto* response = std::get_if<wire::advice_response>(&message.content);
+    if (response == nullptr) {
+        observe::log_event("peer_message_ignored", {{"from", message.from}});
+        return;
+    }
+    constexpr std::uint64_t query_mask = 0xFFFFFFFF;
+    cluster::advice_reply reply;
+    reply.answered = response->answered;
+    std::size_t rows =
+        std::min(response->endpoints.size(), response->tickets.size());
+    for (std::size_t i = 0; i < rows; ++i) {
+        reply.admitted.emplace_back(response->endpoints[i],
+                                    response->tickets[i]);
+    }
+    with_scheduler(response->query >> 32, [&](auto& to, auto now) {
+        to.on_advice(response->query & query_mask, reply, now);
+    });
+}
+
+void cluster_service::answer_advice(const std::string& reply_to,
+                                    const wire::advice_request& request) {
+    cluster::advice_call call;
+    call.query = request.query;
+    call.step = {request.job, request.occurrence, request.step, 0};
+    call.candidates = request.candidates;
+    call.timeout = request.timeout;
+    m_advice.ask(call, [this, reply_to, query = request.query,
+                        alive = m_alive](const cluster::advice_reply& reply) {
+        if (!*alive) {
+            return;
+        }
+        wire::advice_response out;
+        out.query = query;
+        out.answered = reply.answered;
+        for (const auto& [endpoint, ticket] : reply.admitted) {
+            out.endpoints.push_back(endpoint);
+            out.tickets.push_back(ticket);
+        }
+        send(reply_to, std::move(out));
+    });
+}
+
+void cluster_service::record(const std::string& job, std::uint64_t version,
+                             const std::string& progress, bool terminal) {
+    auto now = base::monotonic_now();
+    const cluster::job_entry* entry = m_book.find(job);
+    auto known = m_progress_at.find(job);
+    coordination::revision at = coordination::absent;
+    if (known != m_progress_at.end()) {
+        at = known->second;
+    } else if (entry != nullptr) {
+        at = entry->progress_revision;
+    }
+    coordination::proposal next;
+    next.change.conditions.push_back({cluster::keys::progress + job, at});
+    next.change.puts.push_back(
+        {cluster::keys::progress + job, progress, coordination::no_lease});
+    if (terminal) {
+        next.change.removals.push_back(cluster::keys::job + job);
+    }
+    next.give_up_at = now + record_patience;
+    coordination::proposal attempt = next;
+    next.done = [this, job, version, progress, attempt = std::move(attempt),
+                 reign = m_reign,
+                 alive = m_alive](const coordination::commit_outcome& outcome) {
+        if (*alive && m_reign == reign && m_scheduler) {
+            on_recorded(job, version, progress, attempt, outcome);
+        }
+    };
+    m_recorder->submit(std::move(next));
+}
+
+void cluster_service::on_recorded(const std::string& job, std::uint64_t version,
+                                  const std::string& progress,
+                                  const coordination::proposal& attempt,
+                                  const coordination::commit_outcome& outcome) {
+    auto now = base::monotonic_now();
+    if (outcome.status == status::ok) {
+        m_progress_at[job] = outcome.revision;
+        m_scheduler->on_recorded(job, version, now);
+        tick_soon();
+        return;
+    }
+    if (outcome.status != status::conflict) {
+        observe::log_event(
+            "record_failed",
+            {{"job", job}, {"why", coordination::to_string(outcome.status)}});
+        m_scheduler->on_record_failed(job, now);
+        return;
+    }
+    const coordination::condition& wanted = attempt.change.conditions.front();
+    coordination::item current;
+    for (const coordination::item& it : outcome.current) {
+        if (it.key == wanted.key) {
+            current = it;
+        }
+    }
+    if (current.revision == wanted.revision) {
+        // Only the leadership's own condition can have failed.
+        m_election->on_fenced();
+        return;
+    }
+    m_progress_at[job] = current.revision;
+    if (current.value == progress) {
+        m_scheduler->on_recorded(job, version, now);
+    } else {
+        m_scheduler->on_record_failed(job, now);
+    }
+    tick_soon();
+}
+
+void cluster_service::record_roster(const std::vector<std::string>& endpoints) {
+    coordination::proposal next;
+    next.change.puts.push_back({cluster::keys::roster,
+                                nlohmann::json{{"endpoints", endpoints}}.dump(),
+                                coordination::no_lease});
+    next.give_up_at = base::monotonic_now() + record_patience;
+    next.done = [this, endpoints, reign = m_reign,
+                 alive = m_alive](const coordination::commit_outcome& outcome) {
+        if (!*alive) {
+            return;
+        }
+        with_scheduler(reign, [&](auto& to, auto) {
+            bool stored = outcome.status == status::ok;
+            to.on_roster_recorded(stored ? endpoints
+                                         : std::vector<std::string>{});
+        });
+    };
+    m_recorder->submit(std::move(next));
+}
+
+void cluster_service::on_fenced(const std::string& endpoint) {
+    observe::log_event("fenced", {{"endpoint", endpoint}});
+    m_owner.defer([this, reign = m_reign, alive = m_alive] {
+        if (*alive && m_reign == reign) {
+            m_election->on_fenced();
+        }
+    });
+}
+
+void cluster_service::collect_garbage() {
+    if (!m_scheduler) {
+        return;
+    }
+    auto now = base::monotonic_now();
+    std::size_t removed = 0;
+    for (const auto& [id, entry] : m_book.all()) {
+        if (!workload::is_terminal(entry.progress.state) ||
+            now - entry.ended_at < ended_kept) {
+            continue;
+        }
+        coordination::proposal next;
+        next.change.removals.push_back(cluster::keys::progress + id);
+        if (entry.cancel_requested) {
+            next.change.removals.push_back(cluster::keys::cancel + id);
+        }
+        next.give_up_at = now + slow_period;
+        next.done = [](const coordination::commit_outcome&) {};
+        m_recorder->submit(std::move(next));
+        if (++removed >= garbage_batch) {
+            return;
+        }
+    }
+}
+
+void cluster_service::refresh_gauges() {
+    m_metrics.set("jobs_known", static_cast<double>(m_book.all().size()));
+    m_metrics.set("leading", m_scheduler ? 1.0 : 0.0);
+    m_metrics.set("members", static_cast<double>(m_members.size()));
+    m_metrics.set("configuration_version",
+                  m_queues ? static_cast<double>(m_queues->version()) : 0.0);
+    auto usage = observe::read_process_usage();
+    m_metrics.set("process_cpu_seconds", usage.cpu_seconds);
+    m_metrics.set("process_resident_bytes", usage.resident_bytes);
+    if (!m_scheduler) {
+        return;
+    }
+    auto totals = m_scheduler->count(base::monotonic_now());
+    m_metrics.set("jobs_open", static_cast<double>(totals.jobs));
+    m_metrics.set("endpoints_usable",
+                  static_cast<double>(totals.endpoints_usable));
+    m_metrics.set("tasks_running", static_cast<double>(totals.running));
+    m_metrics.set("tasks_waiting", static_cast<double>(totals.waiting));
+    m_metrics.set("cpu_milli_capacity",
+                  static_cast<double>(totals.capacity.cpu_milli));
+    m_metrics.set("cpu_milli_used", static_cast<double>(totals.used.cpu_milli));
+}
+
+} // namespace eelgrasslever::service
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -85,6 +85,23 @@
     return {schema::Content_Cancel, schema::CreateCancel(to, id).Union()};
 }
 
+packed pack(FlatBufferBuilder& to, const advice_request& in) {
+    auto job = to.CreateString(in.job);
+    auto candidates = to.CreateVectorOfStrings(in.candidates);
+    auto out =
+        schema::CreateAdviceRequest(to, in.query, job, in.occurrence, in.step,
+                                    candidates, in.timeout.count());
+    return {schema::Content_AdviceRequest, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const advice_response& in) {
+    auto endpoints = to.CreateVectorOfStrings(in.endpoints);
+    auto tickets = to.CreateVectorOfStrings(in.tickets);
+    auto out = schema::CreateAdviceResponse(to, in.query, in.answered,
+                                            endpoints, tickets);
+    return {schema::Content_AdviceResponse, out.Union()};
+}
+
 std::string text(const flatbuffers::String* in) {
     return in == nullptr ? std::string() : in->str();
 }
@@ -184,6 +201,21 @@
     }
     case schema::Content_Cancel:
         return cancel{text(in.content_as_Cancel()->request_id())};
+    case schema::Content_AdviceRequest: {
+        const auto* from = in.content_as_AdviceRequest();
+        return advice_request{from->query(),
+                              text(from->job()),
+                              from->occurrence(),
+                              from->step(),
+                              texts(from->candidates()),
+                              base::milliseconds(from->timeout_ms())};
+    }
+    case schema::Content_AdviceResponse: {
+        const auto* from = in.content_as_AdviceResponse();
+        return advice_response{from->query(), from->answered(),
+                               texts(from->endpoints()),
+                               texts(from->tickets())};
+    }
     case schema::Content_NONE:
         return std::nullopt;
     }
