Never start a task while an older run of it may live

Ruled out: an incomplete inventory (the roster held all 48 endpoints when the term began). Change: runs count as outdated only against runs that were seen; a task has a count of runs that may live and waits until it is 0; jobs that arrive in the first 3 s of a term count as inherited, as the former leader may have them.

--- a/include/eelgrasslever/cluster/job_run.hpp
+++ b/include/eelgrasslever/cluster/job_run.hpp
@@ -21,7 +21,10 @@
 struct task_run {
     task_phase phase{task_phase::waiting};
     int run{0};           ///< number of the active run
-    int last_run{0};      ///< highest number ever used
+    int last_run{0};      ///< highest number known to have been used
+    /// Runs that are or may be alive on some endpoint, wanted or not. The task
+    /// is not started while there is one.
+    int live_runs{0};
     std::string endpoint; ///< of the active run
     std::string checkpoint;
     int failures{0};
--- a/src/cluster/job_run.cpp
+++ b/src/cluster/job_run.cpp
@@ -43,7 +43,6 @@
         auto recorded = m_progress.done.find({number, static_cast<int>(s)});
         for (int i = 0; i < spec.count; ++i) {
             task_run& task = step.tasks[static_cast<std::size_t>(i)];
-            task.last_run = m_run_base;
             task_key key{m_job->id, number, static_cast<int>(s), i};
             auto failed = m_progress.failures.find(failure_key(key));
             task.failures = failed == m_progress.failures.end()
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -223,9 +223,18 @@
     }
     at.used -= found->second.need;
     at.runs.erase(found);
+    count_live(key.task, -1);
     m_place_needed = true;
 }
 
+void scheduler::count_live(const task_key& key, int change) {
+    job_state* job = find_job(key.job);
+    task_run* task = job == nullptr ? nullptr : job->run->find_task(key);
+    if (task != nullptr) {
+        task->live_runs += change;
+    }
+}
+
 void scheduler::take_end(endpoint_run& at, const ended_task& end,
                          base::instant now) {
     if (end.number <= at.ends_seen) {
@@ -334,6 +343,7 @@
     at.used += run.need;
     run_key key{row.task, row.run};
     at.runs[key] = run;
+    count_live(row.task, 1);
     bool wanted = task != nullptr && !job->run->ended() &&
                   task->phase == task_phase::waiting &&
                   row.run >= task->last_run;
@@ -423,6 +433,7 @@
     at.runs.clear();
     at.used = {};
     for (const auto& [key, run] : lost) {
+        count_live(key.task, -1);
         requeue(key.task, key.run, run.checkpoint, now);
     }
     m_place_needed = true;
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -14,6 +14,9 @@
 /// How long the first start of a job waits. Source: a queue's pending count
 /// may be 2 s old.
 constexpr base::milliseconds group_starts{700};
+/// For how long after a change of leader the former one may still have taken
+/// jobs up. Source: twice the lease on which leadership rests.
+constexpr base::milliseconds handover_overlap{3000};
 /// Pause before a task is run again whose run failed.
 constexpr base::milliseconds failed_pause{100};
 
@@ -42,7 +45,9 @@
     job_state& job = m_jobs[entry.job->id];
     job.run = std::make_unique<job_run>(entry.job, entry.progress,
                                         m_mandate.run_base, now);
-    job.run->inherited = inherited;
+    // The last leader may have learnt of a job while it was being replaced.
+    job.run->inherited =
+        inherited || now - m_mandate.since < handover_overlap;
     job.run->open_due_occurrences(base::wall_now(), now);
     unlock(job, now);
     complete_if_done(job, now);
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -157,7 +157,8 @@
     std::vector<int> waiting;
     for (int i = 0; i < spec.count; ++i) {
         const task_run& task = step.tasks[static_cast<std::size_t>(i)];
-        if (task.phase == task_phase::waiting && task.not_before <= now) {
+        if (task.phase == task_phase::waiting && task.live_runs == 0 &&
+            task.not_before <= now) {
             waiting.push_back(i);
         }
     }
@@ -196,7 +197,7 @@
     int run = 0;
     std::string checkpoint;
     for (const task_run& task : step.tasks) {
-        if (task.not_before > now) {
+        if (task.not_before > now || task.live_runs > 0) {
             return false;
         }
         run = std::max(run, job.run->next_run(task));
@@ -237,6 +238,7 @@
     at.used += spec.need;
     at.order_count++;
     at.runs[{key, run}] = taken;
+    count_live(key, 1);
     start_order order;
     order.task = key;
     order.run = run;
