Place single tasks on tight endpoints

Cause: single tasks asked for the roomiest endpoints and broke up the rooms that gangs wait for. Change: they ask for endpoints with the least room that holds a task.

--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -321,10 +321,15 @@
             options.push_back({it.endpoint, fits, admitted});
         }
     }
-    std::sort(
-        options.begin(), options.end(), [](const option& a, const option& b) {
-            return std::tie(a.admitted, a.fits) > std::tie(b.admitted, b.fits);
-        });
+    // A gang takes few roomy endpoints. Other tasks go where little room is
+    // left, so that roomy endpoints remain for gangs.
+    std::sort(options.begin(), options.end(),
+              [gang = spec.gang](const option& a, const option& b) {
+                  if (a.admitted != b.admitted) {
+                      return a.admitted;
+                  }
+                  return gang ? a.fits > b.fits : a.fits < b.fits;
+              });
     double expected = 0.0;
     if (spec.gang) {
         for (const fit_candidate& it :
