Leave endpoints that are reserved for gangs to them where others have room

Cause: urgent tasks took room on reserved endpoints while the gang's second call for advice was under way.

--- a/include/eelgrasslever/cluster/fit.hpp
+++ b/include/eelgrasslever/cluster/fit.hpp
@@ -15,8 +15,8 @@
     std::string endpoint;
     std::string rack;
     base::resources room;
-    int slots_left{0}; ///< tasks of the step that may still go there
-    bool near_data{true};
+    int slots_left{0};    ///< tasks of the step that may still go there
+    bool preferred{true}; ///< near the data, and not kept for a gang
 };
 
 /// @return how many tasks of @p need fit into @p room, at most @p limit.
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -191,6 +191,7 @@
     void reserve(const job_state& job, const rank& at, const step_run& step,
                  base::instant now);
     void unreserve(const rank& at);
+    [[nodiscard]] bool reserved(const std::string& endpoint) const;
     [[nodiscard]] bool reserved_by_other(const std::string& endpoint,
                                          const rank& at) const;
 
--- a/src/cluster/fit.cpp
+++ b/src/cluster/fit.cpp
@@ -33,8 +33,8 @@
             continue;
         }
         const fit_candidate& other = candidates[*best];
-        if (it.near_data != other.near_data
-                ? it.near_data
+        if (it.preferred != other.preferred
+                ? it.preferred
                 : it.room.cpu_milli < other.room.cpu_milli) {
             best = i;
         }
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -101,6 +101,12 @@
         }));
 }
 
+bool scheduler::reserved(const std::string& endpoint) const {
+    return std::any_of(
+        m_reservations.begin(), m_reservations.end(),
+        [&](const reservation& r) { return r.endpoints.contains(endpoint); });
+}
+
 bool scheduler::reserved_by_other(const std::string& endpoint,
                                   const rank& at) const {
     return std::any_of(m_reservations.begin(), m_reservations.end(),
@@ -148,7 +154,8 @@
         }
         out.push_back(
             {id, endpoint.listing.rack, room_for(endpoint, at), left,
-             it.data_rack.empty() || it.data_rack == endpoint.listing.rack});
+             (it.data_rack.empty() || it.data_rack == endpoint.listing.rack) &&
+                 (it.gang || !reserved(id))});
     }
     return out;
 }
@@ -310,6 +317,7 @@
         std::string endpoint;
         int fits;
         bool admitted;
+        bool preferred;
     };
     std::vector<option> options;
     for (const fit_candidate& it :
@@ -318,7 +326,7 @@
         int fits = tasks_that_fit(spec.need, it.room, it.slots_left);
         bool admitted = step.advice.admitted.contains(it.endpoint);
         if (fits > 0 || explore) {
-            options.push_back({it.endpoint, fits, admitted});
+            options.push_back({it.endpoint, fits, admitted, it.preferred});
         }
     }
     // A gang takes few roomy endpoints. Other tasks go where little room is
@@ -328,6 +336,9 @@
                   if (a.admitted != b.admitted) {
                       return a.admitted;
                   }
+                  if (a.preferred != b.preferred) {
+                      return a.preferred;
+                  }
                   return gang ? a.fits > b.fits : a.fits < b.fits;
               });
     double expected = 0.0;
