--- a/include/eelgrasslever/cluster/job_desk.hpp
+++ b/include/eelgrasslever/cluster/job_desk.hpp
@@ -37,23 +37,23 @@
 
     /// Stores @p job unless it is known. @p done runs once.
     /// @param deadline until when the client waits.
-    void submit(workload::job job, base::instant deadline,
-                std::function<void(submit_result)> done);
+    void submit(const workload::job& job, base::instant deadline,
+                const std::function<void(submit_result)>& done);
     void cancel(const std::string& id, base::instant deadline,
-                std::function<void(cancel_result)> done);
+                const std::function<void(cancel_result)>& done);
     void state(const std::string& id,
-               std::function<void(const state_result&)> done);
+               const std::function<void(const state_result&)>& done);
 
   private:
     static void settle(const coordination::commit_outcome& outcome,
                        const std::function<void(submit_result)>& done);
     void write_cancel(const std::string& id, base::instant deadline,
-                      std::function<void(cancel_result)> done);
+                      const std::function<void(cancel_result)>& done);
     /// Asks the store whether @p id was ever accepted and is still kept.
     void look_up(const std::string& id,
-                 std::function<void(const state_result&)> done);
+                 const std::function<void(const state_result&)>& done);
     void look_up_end(const std::string& id,
-                     std::function<void(const state_result&)> done);
+                     const std::function<void(const state_result&)>& done);
 
     coordination::store& m_store;
     const job_book& m_book;
--- a/include/eelgrasslever/service/request_router.hpp
+++ b/include/eelgrasslever/service/request_router.hpp
@@ -36,7 +36,7 @@
     /// Replaces the peers, by VM with their addresses; without this VM.
     void set_peers(std::map<std::string, std::string> peers);
 
-    void submit(workload::job job, base::instant deadline,
+    void submit(const workload::job& job, base::instant deadline,
                 std::function<void(cluster::submit_result)> done);
     void cancel(const std::string& id, base::instant deadline,
                 std::function<void(cluster::cancel_result)> done);
--- a/src/cluster/job_desk.cpp
+++ b/src/cluster/job_desk.cpp
@@ -12,8 +12,8 @@
                    std::shared_ptr<coordination::committer> writer)
     : m_store(at), m_book(book), m_writer(std::move(writer)) {}
 
-void job_desk::submit(workload::job job, base::instant deadline,
-                      std::function<void(submit_result)> done) {
+void job_desk::submit(const workload::job& job, base::instant deadline,
+                      const std::function<void(submit_result)>& done) {
     const std::string id = job.id;
     if (const job_entry* known = m_book.find(id);
         known != nullptr &&
@@ -57,14 +57,14 @@
 }
 
 void job_desk::cancel(const std::string& id, base::instant deadline,
-                      std::function<void(cancel_result)> done) {
+                      const std::function<void(cancel_result)>& done) {
     const job_entry* known = m_book.find(id);
     if (known != nullptr && workload::is_terminal(known->progress.state)) {
         done(cancel_result::cancelled);
         return;
     }
     if (known != nullptr && known->job) {
-        write_cancel(id, deadline, std::move(done));
+        write_cancel(id, deadline, done);
         return;
     }
     look_up(id, [self = shared_from_this(), id, deadline,
@@ -82,7 +82,7 @@
 }
 
 void job_desk::write_cancel(const std::string& id, base::instant deadline,
-                            std::function<void(cancel_result)> done) {
+                            const std::function<void(cancel_result)>& done) {
     coordination::proposal next;
     next.change.conditions.push_back({keys::cancel + id, coordination::absent});
     next.change.puts.push_back(
@@ -97,7 +97,7 @@
 }
 
 void job_desk::state(const std::string& id,
-                     std::function<void(const state_result&)> done) {
+                     const std::function<void(const state_result&)>& done) {
     const job_entry* known = m_book.find(id);
     if (known != nullptr &&
         (known->job || known->progress_revision != coordination::absent)) {
@@ -106,13 +106,13 @@
         done(out);
         return;
     }
-    look_up(id, std::move(done));
+    look_up(id, done);
 }
 
 // The job's record goes in the change that stores its end, so that of the two
 // keys, read in this order, one is found for each job that is kept.
 void job_desk::look_up(const std::string& id,
-                       std::function<void(const state_result&)> done) {
+                       const std::function<void(const state_result&)>& done) {
     m_store.read(keys::job + id, [self = shared_from_this(), id,
                                   done](const coordination::read_reply& in) {
         if (in.status == status::not_found) {
@@ -127,8 +127,9 @@
     });
 }
 
-void job_desk::look_up_end(const std::string& id,
-                           std::function<void(const state_result&)> done) {
+void job_desk::look_up_end(
+    const std::string& id,
+    const std::function<void(const state_result&)>& done) {
     m_store.read(
         keys::progress + id, [id, done](const coordination::read_reply& in) {
             state_result out;
--- a/src/cluster/job_run.cpp
+++ b/src/cluster/job_run.cpp
@@ -105,7 +105,8 @@
 
 std::vector<workload::step_key> job_run::unlock_steps(base::instant now) {
     std::vector<workload::step_key> out;
-    for (auto& [number, occurrence] : m_occurrences) {
+    for (auto& [number, opened] : m_occurrences) {
+        occurrence_run& occurrence = opened;
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
             step_run& step = occurrence.steps[s];
             const auto& after = m_job->steps[s].after;
--- a/src/service/request_router.cpp
+++ b/src/service/request_router.cpp
@@ -144,7 +144,7 @@
               });
 }
 
-void request_router::submit(workload::job job, base::instant deadline,
+void request_router::submit(const workload::job& job, base::instant deadline,
                             std::function<void(submit_result)> done) {
     auto now = base::monotonic_now();
     wire::desk_request request;
@@ -187,25 +187,24 @@
     state->timer.start_once(patience);
     // An attempt of ours that is still open then says nothing more in time.
     auto local_until = std::min(deadline, now + 2 * patience);
-    m_desk.submit(std::move(job), local_until,
-                  [state, relay_now](submit_result result) {
-                      state->local_open = false;
-                      if (result == submit_result::accepted) {
-                          state->finish(result);
-                          return;
-                      }
-                      state->may_be_stored = state->may_be_stored ||
-                                             result == submit_result::uncertain;
-                      relay_now();
-                      state->finish_if_failed();
-                  });
+    m_desk.submit(job, local_until, [state, relay_now](submit_result result) {
+        state->local_open = false;
+        if (result == submit_result::accepted) {
+            state->finish(result);
+            return;
+        }
+        state->may_be_stored =
+            state->may_be_stored || result == submit_result::uncertain;
+        relay_now();
+        state->finish_if_failed();
+    });
 }
 
 void request_router::cancel(const std::string& id, base::instant deadline,
                             std::function<void(cancel_result)> done) {
     auto now = base::monotonic_now();
     if (m_store.reachable(now)) {
-        m_desk.cancel(id, deadline, std::move(done));
+        m_desk.cancel(id, deadline, done);
         return;
     }
     wire::desk_request request;
@@ -232,7 +231,7 @@
         known != nullptr && workload::is_terminal(known->progress.state);
     auto now = base::monotonic_now();
     if (ended || m_store.reachable(now)) {
-        m_desk.state(id, std::move(done));
+        m_desk.state(id, done);
         return;
     }
     wire::desk_request request;
@@ -285,7 +284,7 @@
             respond(from, query, desk_outcome::refused);
             return;
         }
-        m_desk.submit(*std::move(job), now + request.wait,
+        m_desk.submit(*job, now + request.wait,
                       [self, from, query](submit_result result) {
                           auto outcome = desk_outcome::uncertain;
                           if (result == submit_result::accepted) {
