--- a/include/eelgrasslever/coordination/election.hpp
+++ b/include/eelgrasslever/coordination/election.hpp
@@ -42,6 +42,8 @@
     void on_lease_expired();
     /// Another leader has been seen at an endpoint.
     void on_fenced();
+    /// Lets VMs that are fitter to lead bid first.
+    void set_reluctant(bool reluctant) { m_reluctant = reluctant; }
     /// Gives leadership up and bids no more.
     void resign();
 
@@ -77,6 +79,7 @@
     bool m_loaded{false};
     bool m_bidding{false};
     bool m_resigned{false};
+    bool m_reluctant{false};
     bool m_led_before{false};
 };
 
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -40,6 +40,7 @@
     std::string vm;
     std::string peer_address; ///< "IP:port" for other VMs
     std::string incarnation;  ///< differs for each start of the process
+    double cores{1.0};        ///< processor share of this VM
     cluster::scheduler_limits limits;
 };
 
@@ -99,6 +100,8 @@
                      const coordination::commit_outcome& outcome);
     void on_peer(daemon::peer_spoke&& message);
     void refresh_peers();
+    /// Whether another live VM has more processor than this one.
+    [[nodiscard]] bool outranked() const;
     void answer_advice(const std::string& reply_to,
                        const wire::advice_request& request);
     [[nodiscard]] bool may_order() const;
@@ -129,7 +132,11 @@
     std::shared_ptr<request_router> m_router;
     kernel::mailbox<daemon::to_scheduler> m_peer_inbox;
     std::unique_ptr<daemon::peer_links> m_links;
-    std::map<std::string, std::string> m_members; ///< VM to peer address
+    struct member {
+        std::string peer_address;
+        double cores{0.0};
+    };
+    std::map<std::string, member> m_members; ///< by VM
     std::map<std::string, cluster::endpoint_listing> m_listings;
     /// Listings that vanished in an outage of the store, and until when they
     /// may come back.
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -12,6 +12,9 @@
 /// Pause before a bid of a VM that did not lead last. A former leader that is
 /// still alive keeps its view of the endpoints, so it goes first.
 constexpr base::milliseconds newcomer_pause{60};
+/// Pause of a VM that knows of a fitter one, so that it leads only where the
+/// fitter ones are gone.
+constexpr base::milliseconds reluctant_pause{400};
 /// Pause before bidding again after a bid without a reply.
 constexpr base::milliseconds rebid_pause{150};
 
@@ -102,6 +105,10 @@
         m_leader_revision != absent || m_session.lease() == no_lease) {
         return;
     }
+    if (m_reluctant) {
+        m_timer.start_once(reluctant_pause);
+        return;
+    }
     m_timer.start_once(m_led_before ? base::milliseconds(0) : newcomer_pause);
 }
 
--- /dev/null
+++ b/src/observe/log_budget.cpp
@@ -0,0 +1,41 @@
+#include "eelgrasslever/observe/log_budget.hpp"
+
+#include <utility>
+
+namespace eelgrasslever::observe {
+
+namespace {
+
+constexpr base::milliseconds period{1000};
+
+} // namespace
+
+void log_budget::roll(base::instant now) {
+    if (now - m_second < period && m_second != base::instant{}) {
+        return;
+    }
+    m_second = now;
+    m_lines = 0;
+    m_by_event.clear();
+    m_ready.insert(m_ready.end(), m_dropped.begin(), m_dropped.end());
+    m_dropped.clear();
+}
+
+bool log_budget::admit(const std::string& event, base::instant now) {
+    roll(now);
+    if (m_lines < lines_in_all && m_by_event[event] < lines_per_event) {
+        m_lines++;
+        m_by_event[event]++;
+        return true;
+    }
+    m_dropped[event]++;
+    return false;
+}
+
+std::vector<std::pair<std::string, int>>
+log_budget::take_dropped(base::instant now) {
+    roll(now);
+    return std::exchange(m_ready, {});
+}
+
+} // namespace eelgrasslever::observe
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -104,8 +104,10 @@
     m_configuration_follower = std::make_shared<follower>(
         owner, m_store, m_records.configuration_prefix, configuration_times,
         [this](const item& change) { on_configuration_item(change); }, [] {});
-    std::string member =
-        nlohmann::json{{"peer", m_options.peer_address}}.dump();
+    std::string member = nlohmann::json{
+        {"peer", m_options.peer_address},
+        {"cores",
+         m_options.cores}}.dump();
     m_session = std::make_shared<coordination::session>(
         owner, m_store, cluster::keys::member + m_options.vm, member,
         coordination::session::handlers{
@@ -194,7 +196,8 @@
     if (!change.deleted) {
         auto entry = base::parse_object(change.value, "member.read", vm);
         if (entry) {
-            m_members[vm] = entry->value("peer", "");
+            m_members[vm] = {entry->value("peer", ""),
+                             entry->value("cores", 0.0)};
         }
     }
     observe::log_event(change.deleted ? "member_left" : "member_seen",
@@ -203,19 +206,30 @@
 }
 
 void cluster_service::refresh_peers() {
-    std::map<std::string, std::string> others = m_members;
-    others.erase(m_options.vm);
+    std::map<std::string, std::string> others;
+    for (const auto& [name, peer] : m_members) {
+        if (name != m_options.vm) {
+            others[name] = peer.peer_address;
+        }
+    }
     m_router->set_peers(std::move(others));
+    m_election->set_reluctant(outranked());
     if (!m_scheduler) {
         return;
     }
     std::vector<std::string> names;
-    for (const auto& [name, address] : m_members) {
+    for (const auto& [name, peer] : m_members) {
         names.push_back(name);
     }
     m_scheduler->set_channels(names, base::monotonic_now());
 }
 
+bool cluster_service::outranked() const {
+    return std::any_of(
+        m_members.begin(), m_members.end(),
+        [&](const auto& row) { return row.second.cores > m_options.cores; });
+}
+
 void cluster_service::on_registry_item(const coordination::item& change) {
     std::string id = change.key.substr(m_records.registry_prefix.size());
     auto now = base::monotonic_now();
@@ -443,7 +457,7 @@
     request.step = call.step.step;
     request.candidates = call.candidates;
     request.timeout = call.timeout;
-    send(m_members[channel], std::move(request));
+    send(m_members[channel].peer_address, std::move(request));
 }
 
 void cluster_service::send(const std::string& address, wire::message content) {
