--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -209,6 +209,7 @@
     bool m_place_needed{true};
     base::instant m_placed_at{};
     bool m_may_order{true};
+    std::chrono::sys_time<base::milliseconds> m_wall{}; ///< of the last tick
 };
 
 } // namespace eelgrasslever::cluster
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -25,6 +25,7 @@
                            {{"token", std::to_string(m_mandate.token)}});
     }
     m_may_order = may_order;
+    m_wall = wall;
     flush_records(now);
     give_up_unsent_starts(now);
     for (auto& call : m_desk.take_expired(now)) {
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -47,7 +47,7 @@
     job_state& job = m_jobs[entry.job->id];
     job.run = std::make_unique<job_run>(entry.job, entry.progress,
                                         m_mandate.run_base, now);
-    job.run->open_due_occurrences(base::wall_now(), now);
+    job.run->open_due_occurrences(m_wall, now);
     inherit_placements(job, now);
     unlock(job, now);
     complete_if_done(job, now);
