--- a/include/eelgrasslever/cluster/fit.hpp
+++ b/include/eelgrasslever/cluster/fit.hpp
@@ -5,15 +5,15 @@
 #include "eelgrasslever/base/resources.hpp"
 
 #include <cstddef>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrasslever::cluster {
 
 /// An endpoint that may run the step, with the room that the step may use.
 struct fit_candidate {
-    std::string endpoint;
-    std::string rack;
+    std::string_view endpoint; ///< valid as long as the endpoint is known
+    std::string_view rack;
     base::resources room;
     int slots_left{0};    ///< tasks of the step that may still go there
     bool preferred{true}; ///< near the data, and not kept for a gang
--- a/include/eelgrasslever/cluster/job_run.hpp
+++ b/include/eelgrasslever/cluster/job_run.hpp
@@ -52,6 +52,7 @@
     int done{0};
     step_advice advice;
     base::instant unlocked_at{};
+    base::instant reserved_at{};
     bool unlocked{false};
 
     [[nodiscard]] bool complete() const {
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -77,7 +78,8 @@
         base::resources used;
     };
     [[nodiscard]] totals count(base::instant now) const;
-    [[nodiscard]] const std::map<std::string, endpoint_run>& endpoints() const {
+    [[nodiscard]] const std::map<std::string, endpoint_run, std::less<>>&
+    endpoints() const {
         return m_endpoints;
     }
 
@@ -184,6 +186,7 @@
                                         const workload::step& spec,
                                         const step_run& step,
                                         base::instant now) const;
+    [[nodiscard]] endpoint_run& endpoint_at(std::string_view id);
     [[nodiscard]] int tasks_of_step(const endpoint_run& at,
                                     const rank& step) const;
     void want_advice(job_state& job, const rank& at, step_run& step,
@@ -199,7 +202,11 @@
     scheduler_limits m_limits;
     scheduler_mandate m_mandate;
     std::unordered_map<std::string, job_state> m_jobs;
-    std::map<std::string, endpoint_run> m_endpoints;
+    std::map<std::string, endpoint_run, std::less<>> m_endpoints;
+    std::vector<const endpoint_run*> m_usable; ///< during one pass
+    /// Endpoints with ends that are not yet recorded.
+    std::set<std::string> m_unrecorded;
+    base::instant m_swept_at{};
     std::set<rank> m_ready;
     std::vector<reservation> m_reservations;
     std::set<std::string> m_dirty;
--- a/src/cluster/fit.cpp
+++ b/src/cluster/fit.cpp
@@ -45,7 +45,7 @@
 /// Fills the roomiest endpoints first.
 std::vector<std::size_t> fill(const base::resources& need, int count,
                               const std::vector<fit_candidate>& candidates,
-                              const std::string* rack) {
+                              const std::string_view* rack) {
     std::vector<std::pair<int, std::size_t>> order;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const fit_candidate& it = candidates[i];
@@ -99,7 +99,7 @@
     if (!one_rack) {
         return fill(need, count, candidates, nullptr);
     }
-    std::map<std::string, int> room_by_rack;
+    std::map<std::string_view, int> room_by_rack;
     for (const fit_candidate& it : candidates) {
         room_by_rack[it.rack] += tasks_that_fit(need, it.room, it.slots_left);
     }
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -10,6 +10,10 @@
 
 /// Longest pause between two looks for room while work waits.
 constexpr base::milliseconds placement_period{50};
+/// Shortest pause, in which events gather.
+constexpr base::milliseconds placement_spacing{10};
+/// How often leases and unanswered stops are looked at.
+constexpr base::milliseconds sweep_period{40};
 
 } // namespace
 
@@ -37,8 +41,12 @@
         }
         m_place_needed = true;
     }
-    for (auto& [id, at] : m_endpoints) {
-        check_lease(at, now);
+    bool sweep = now - m_swept_at >= sweep_period;
+    if (sweep) {
+        m_swept_at = now;
+        for (auto& [id, at] : m_endpoints) {
+            check_lease(at, now);
+        }
     }
     std::erase_if(m_endpoints, [&](const auto& row) {
         return row.second.gone && row.second.runs.empty();
@@ -53,10 +61,14 @@
         return;
     }
     for (auto& [id, at] : m_endpoints) {
-        retry_stops(at, now);
+        if (sweep) {
+            retry_stops(at, now);
+        }
         hold_if_due(at, now);
     }
-    if (m_place_needed || now - m_placed_at >= placement_period) {
+    auto since = now - m_placed_at;
+    if (since >= placement_period ||
+        (m_place_needed && since >= placement_spacing)) {
         place_all(now);
     }
 }
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -219,6 +219,7 @@
         row.version = job->run->version();
     }
     at.unrecorded.push_back(std::move(row));
+    m_unrecorded.insert(at.listing.id);
 }
 
 void scheduler::release_recorded_ends(endpoint_run& at, base::instant now) {
@@ -233,6 +234,9 @@
         at.unrecorded.pop_front();
         released = true;
     }
+    if (at.unrecorded.empty()) {
+        m_unrecorded.erase(at.listing.id);
+    }
     if (released && at.unrecorded.empty()) {
         at.next_hold = std::min(at.next_hold, now);
     }
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -207,8 +207,14 @@
         touch(*job, now);
     }
     send_recorded_starts(*job, now);
-    for (auto& [name, at] : m_endpoints) {
-        release_recorded_ends(at, now);
+    std::vector<std::string> waiting(m_unrecorded.begin(), m_unrecorded.end());
+    for (const std::string& name : waiting) {
+        auto at = m_endpoints.find(name);
+        if (at == m_endpoints.end()) {
+            m_unrecorded.erase(name);
+        } else {
+            release_recorded_ends(at->second, now);
+        }
     }
     if (job->run->ended() && job->recorded == job->run->version()) {
         m_jobs.erase(id);
@@ -340,7 +346,9 @@
                 run.mark_done(member);
             }
         } else {
-            stop_elsewhere(end.task, at.listing.id, now);
+            if (task->live_runs > 0) {
+                stop_elsewhere(end.task, at.listing.id, now);
+            }
             run.mark_done(end.task);
         }
         touch(job, now + group_ends);
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -25,6 +25,8 @@
 constexpr double task_surplus = 2.0;
 /// Share of the fleet that waiting gangs may keep free at a time.
 constexpr double reserved_share = 0.5;
+/// How often a waiting gang's reservation is chosen anew.
+constexpr base::milliseconds reservation_period{100};
 /// Steps looked at in one pass; bounds the time of a pass under overload.
 constexpr int steps_a_pass = 200;
 
@@ -39,6 +41,12 @@
 void scheduler::place_all(base::instant now) {
     m_place_needed = false;
     m_placed_at = now;
+    m_usable.clear();
+    for (const auto& [id, at] : m_endpoints) {
+        if (usable(at, now)) {
+            m_usable.push_back(&at);
+        }
+    }
     std::vector<rank> order(m_ready.begin(), m_ready.end());
     int looked_at = 0;
     for (const rank& at : order) {
@@ -92,6 +100,10 @@
     return whole_room(at, step) - at.used;
 }
 
+endpoint_run& scheduler::endpoint_at(std::string_view id) {
+    return m_endpoints.find(id)->second;
+}
+
 int scheduler::tasks_of_step(const endpoint_run& at, const rank& step) const {
     return static_cast<int>(
         std::count_if(at.runs.begin(), at.runs.end(), [&](const auto& row) {
@@ -122,40 +134,55 @@
     const workload::job& spec = job.run->job();
     const workload::step& it = spec.steps[static_cast<std::size_t>(at.step)];
     std::vector<fit_candidate> out;
-    for (const auto& [id, endpoint] : m_endpoints) {
+    auto consider = [&](const endpoint_run& endpoint) {
+        const std::string& id = endpoint.listing.id;
         if (endpoint.listing.service != spec.queue.service ||
-            !usable(endpoint, now) ||
             (of != scope::explored && reserved_by_other(id, at))) {
-            continue;
+            return;
         }
         const auto& labels = endpoint.listing.labels;
         if (!it.required_label.empty() &&
             std::find(labels.begin(), labels.end(), it.required_label) ==
                 labels.end()) {
-            continue;
-        }
-        if (spec.queue.advice) {
-            auto ticket = step.advice.admitted.find(id);
-            bool valid = ticket != step.advice.admitted.end() &&
-                         ticket->second.valid_until > now;
-            if (valid != (of == scope::ticketed) ||
-                step.advice.rejected.contains(id)) {
-                continue;
-            }
-        } else if (of != scope::ticketed) {
-            continue;
+            return;
         }
         int left = it.count;
         if (it.max_per_endpoint > 0) {
             left = it.max_per_endpoint - tasks_of_step(endpoint, at);
         }
         if (left < 1) {
-            continue;
+            return;
         }
         out.push_back(
             {id, endpoint.listing.rack, room_for(endpoint, at), left,
              (it.data_rack.empty() || it.data_rack == endpoint.listing.rack) &&
                  (it.gang || !reserved(id))});
+    };
+    if (!spec.queue.advice) {
+        if (of == scope::ticketed) {
+            std::for_each(m_usable.begin(), m_usable.end(),
+                          [&](const auto* endpoint) { consider(*endpoint); });
+        }
+        return out;
+    }
+    if (of == scope::ticketed) {
+        for (const auto& [id, ticket] : step.advice.admitted) {
+            auto found = m_endpoints.find(id);
+            if (ticket.valid_until > now && found != m_endpoints.end() &&
+                usable(found->second, now)) {
+                consider(found->second);
+            }
+        }
+        return out;
+    }
+    for (const endpoint_run* endpoint : m_usable) {
+        const std::string& id = endpoint->listing.id;
+        auto ticket = step.advice.admitted.find(id);
+        bool valid = ticket != step.advice.admitted.end() &&
+                     ticket->second.valid_until > now;
+        if (!valid && !step.advice.rejected.contains(id)) {
+            consider(*endpoint);
+        }
     }
     return out;
 }
@@ -181,7 +208,7 @@
         task_key key{at.job, at.occurrence, at.step, waiting[k]};
         task_run* task = job.run->find_task(key);
         start_task(job, key, job.run->next_run(*task), task->checkpoint,
-                   m_endpoints.at(rooms[chosen[k]].endpoint), now);
+                   endpoint_at(rooms[chosen[k]].endpoint), now);
     }
     int missing = static_cast<int>(waiting.size() - chosen.size());
     if (missing > 0) {
@@ -218,7 +245,10 @@
     auto chosen = fit_together(spec.need, open, rooms, spec.same_rack);
     if (chosen.empty()) {
         want_advice(job, at, step, open, now);
-        reserve(job, at, step, now);
+        if (now - step.reserved_at >= reservation_period) {
+            step.reserved_at = now;
+            reserve(job, at, step, now);
+        }
         return false;
     }
     std::size_t k = 0;
@@ -228,7 +258,7 @@
         }
         task_key key{at.job, at.occurrence, at.step, i};
         start_task(job, key, run, checkpoint,
-                   m_endpoints.at(rooms[chosen[k++]].endpoint), now);
+                   endpoint_at(rooms[chosen[k++]].endpoint), now);
     }
     return true;
 }
@@ -324,9 +354,10 @@
          candidates(job, at, step, now,
                     explore ? scope::explored : scope::unticketed)) {
         int fits = tasks_that_fit(spec.need, it.room, it.slots_left);
-        bool admitted = step.advice.admitted.contains(it.endpoint);
+        std::string id(it.endpoint);
+        bool admitted = step.advice.admitted.contains(id);
         if (fits > 0 || explore) {
-            options.push_back({it.endpoint, fits, admitted, it.preferred});
+            options.push_back({std::move(id), fits, admitted, it.preferred});
         }
     }
     // A gang takes few roomy endpoints. Other tasks go where little room is
@@ -463,7 +494,7 @@
     if (job.run->job().queue.advice) {
         for (fit_candidate& it :
              candidates(job, at, step, now, scope::unticketed)) {
-            if (step.advice.admitted.contains(it.endpoint)) {
+            if (step.advice.admitted.contains(std::string(it.endpoint))) {
                 all.push_back(std::move(it));
             }
         }
@@ -478,12 +509,11 @@
         if (room >= spec.count || taken + mine.endpoints.size() >= bound) {
             break;
         }
-        int fits = tasks_that_fit(spec.need,
-                                  whole_room(m_endpoints.at(it.endpoint), at),
-                                  it.slots_left);
+        int fits = tasks_that_fit(
+            spec.need, whole_room(endpoint_at(it.endpoint), at), it.slots_left);
         if (fits > 0) {
             room += fits;
-            mine.endpoints.insert(it.endpoint);
+            mine.endpoints.emplace(it.endpoint);
         }
     }
     if (!mine.endpoints.empty()) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,12 +3,14 @@
 #include <curl/curl.h>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace eelgrasslever::http {
 
 namespace {
 
 constexpr long idle_connections = 512;
+constexpr std::size_t spare_handles = 256;
 
 struct transfer {
     CURL* easy{nullptr};
@@ -19,7 +21,9 @@
 
     ~transfer() {
         curl_slist_free_all(headers);
-        curl_easy_cleanup(easy);
+        if (easy != nullptr) {
+            curl_easy_cleanup(easy);
+        }
     }
 };
 
@@ -50,7 +54,6 @@
 }
 
 void prepare(transfer& item, const call& request) {
-    item.easy = curl_easy_init();
     item.body = request.body;
     CURL* easy = item.easy;
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
@@ -88,6 +91,9 @@
             curl_multi_remove_handle(multi, easy);
         }
         transfers.clear();
+        for (CURL* easy : spare) {
+            curl_easy_cleanup(easy);
+        }
         curl_multi_cleanup(multi);
     }
 
@@ -98,7 +104,23 @@
     std::map<CURL*, std::unique_ptr<transfer>> transfers;
     std::uint64_t sent{0};
     std::uint64_t received{0};
-    bool acting{false};
+    std::vector<CURL*> spare; ///< handles to use again; making one is dear
+
+    CURL* take_handle() {
+        if (spare.empty()) {
+            return curl_easy_init();
+        }
+        CURL* out = spare.back();
+        spare.pop_back();
+        curl_easy_reset(out);
+        return out;
+    }
+
+    void keep_handle(transfer& item) {
+        if (spare.size() < spare_handles) {
+            spare.push_back(std::exchange(item.easy, nullptr));
+        }
+    }
 
     void act(curl_socket_t descriptor, int flags) {
         int running = 0;
@@ -120,6 +142,7 @@
             fill_result(*item, code);
             sent += item->result.bytes_sent + item->body.size();
             received += item->result.bytes_received;
+            keep_handle(*item);
             item->on_reply(item->result);
         }
     }
@@ -199,6 +222,7 @@
 void client::send(const call& request, callback on_reply) {
     auto item = std::make_unique<transfer>();
     item->on_reply = std::move(on_reply);
+    item->easy = m_native->take_handle();
     prepare(*item, request);
     CURL* easy = item->easy;
     m_native->transfers.emplace(easy, std::move(item));
