--- a/fuzz/fuzz_main.cpp
+++ b/fuzz/fuzz_main.cpp
@@ -38,7 +38,8 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     for (const fuzz::target& item :
          {fuzz::frame_target(), fuzz::request_target(), fuzz::bundle_target(),
-          fuzz::settings_target(), fuzz::endpoint_reply_target()}) {
+          fuzz::settings_target(), fuzz::endpoint_reply_target(),
+          fuzz::platform_target()}) {
         std::mt19937_64 random(FLAGS_seed);
         for (int round = 0; round < FLAGS_rounds; ++round) {
             const std::string& sample =
--- a/fuzz/targets.hpp
+++ b/fuzz/targets.hpp
@@ -18,5 +18,6 @@
 [[nodiscard]] target bundle_target();
 [[nodiscard]] target settings_target();
 [[nodiscard]] target endpoint_reply_target();
+[[nodiscard]] target platform_target();
 
 } // namespace fuzz
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -64,10 +64,14 @@
     void on_advice(std::uint64_t query, const advice_reply& reply,
                    base::instant now);
 
-    /// Acts on all that is due. @p may_order: whether this VM may still give
-    /// orders; without it nothing is sent.
+    /// What the leader may do at a moment.
+    struct authority {
+        bool order{true}; ///< without it nothing is sent
+        bool place{true}; ///< the store is there to record placements
+    };
+    /// Acts on all that is due.
     void tick(base::instant now, std::chrono::sys_time<base::milliseconds> wall,
-              bool may_order);
+              authority may);
 
     struct totals {
         std::size_t jobs{0};
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -23,12 +23,12 @@
 
 void scheduler::tick(base::instant now,
                      std::chrono::sys_time<base::milliseconds> wall,
-                     bool may_order) {
-    if (m_may_order != may_order) {
-        observe::log_event(may_order ? "ordering_resumed" : "ordering_paused",
+                     authority may) {
+    if (m_may_order != may.order) {
+        observe::log_event(may.order ? "ordering_resumed" : "ordering_paused",
                            {{"token", std::to_string(m_mandate.token)}});
     }
-    m_may_order = may_order;
+    m_may_order = may.order;
     m_wall = wall;
     flush_records(now);
     give_up_unsent_starts(now);
@@ -57,7 +57,7 @@
             unlock(job, now);
         }
     }
-    if (!may_order) {
+    if (!may.order) {
         return;
     }
     for (auto& [id, at] : m_endpoints) {
@@ -66,6 +66,9 @@
         }
         hold_if_due(at, now);
     }
+    if (!may.place) {
+        return;
+    }
     auto since = now - m_placed_at;
     if (since >= placement_period ||
         (m_place_needed && since >= placement_spacing)) {
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -380,7 +380,8 @@
     }
     m_ticked_at = base::monotonic_now();
     unlist_lapsed(m_ticked_at);
-    m_scheduler->tick(m_ticked_at, base::wall_now(), may_order());
+    m_scheduler->tick(m_ticked_at, base::wall_now(),
+                      {may_order(), m_store.reachable(m_ticked_at)});
     if (!m_tick_scheduled) {
         m_tick_timer.start_once(tick_period);
     }
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -468,7 +468,7 @@
         }
     }
     if (m_leader) {
-        m_leader->tick(m_now, {}, true);
+        m_leader->tick(m_now, {}, {});
     }
 }
 
--- a/tools/eelctl/commands.hpp
+++ b/tools/eelctl/commands.hpp
@@ -16,5 +16,6 @@
 int trace(const arguments& words);
 int show(const arguments& words);
 int check(const arguments& words);
+int why(const arguments& words);
 
 } // namespace eelctl
--- a/tools/eelctl/main.cpp
+++ b/tools/eelctl/main.cpp
@@ -16,7 +16,7 @@
     {"submit", &eelctl::submit}, {"get", &eelctl::get},
     {"cancel", &eelctl::cancel}, {"explain", &eelctl::explain},
     {"trace", &eelctl::trace},   {"show", &eelctl::show},
-    {"check", &eelctl::check},
+    {"check", &eelctl::check},   {"why", &eelctl::why},
 };
 
 const char* const usage = R"(eelctl COMMAND [flags]
@@ -36,6 +36,7 @@
   bundle show
   show endpoints|members|queue|requests|health|metrics
   check SETTINGS.toml       checks settings without a server
+  why ID LOGFILE...         what the logs of several VMs say of one job, in order
 
 Every command takes --servers IP:port,... and --json.
 Exit status: 0 good, 1 not completed or refused, 2 faulty command or file,
