Tell peers of new jobs and stored ends ahead of the watch

Change: the VM that stored a job tells the leader, with the term that it knows, so that a notice held up can't reach a later leader; the leader tells all VMs of stored ends. A job with a record of this reign is never taken up again. The watches are now 100 and 300 ms apart.

--- a/include/eelgrasslever/cluster/job_book.hpp
+++ b/include/eelgrasslever/cluster/job_book.hpp
@@ -29,6 +29,12 @@
     coordination::revision progress_revision{coordination::absent};
     bool cancel_requested{false};
     base::instant ended_at{}; ///< when the end was first seen here
+
+    /// Whether the job itself or its end is known, not just a cancellation.
+    [[nodiscard]] bool is_known() const {
+        return job || progress_revision != coordination::absent ||
+               workload::is_terminal(progress.state);
+    }
 };
 
 /// What a change of the store meant.
@@ -51,6 +57,10 @@
     /// read are logged and left out.
     change apply(const coordination::item& record, base::instant now);
 
+    /// Takes in an end that another VM has stored, ahead of the watch.
+    void note_end(const std::string& id, workload::job_state state,
+                  base::instant now);
+
     [[nodiscard]] const job_entry* find(const std::string& id) const;
     [[nodiscard]] const std::unordered_map<std::string, job_entry>&
     all() const {
--- a/include/eelgrasslever/cluster/job_desk.hpp
+++ b/include/eelgrasslever/cluster/job_desk.hpp
@@ -32,8 +32,14 @@
     /// Left of a client's deadline for the way back of the answer.
     static constexpr base::milliseconds answer_margin{150};
 
+    /// Receives an id and the record that was stored under it.
+    using stored_handler =
+        std::function<void(const std::string& id, const std::string& record)>;
+
+    /// @param on_stored runs with each job that this VM has stored.
     job_desk(coordination::store& at, const job_book& book,
-             std::shared_ptr<coordination::committer> writer);
+             std::shared_ptr<coordination::committer> writer,
+             stored_handler on_stored = nullptr);
 
     /// Stores @p job unless it is known. @p done runs once.
     /// @param deadline until when the client waits.
@@ -58,6 +64,7 @@
     coordination::store& m_store;
     const job_book& m_book;
     std::shared_ptr<coordination::committer> m_writer;
+    stored_handler m_on_stored;
 };
 
 } // namespace eelgrasslever::cluster
--- a/include/eelgrasslever/coordination/election.hpp
+++ b/include/eelgrasslever/coordination/election.hpp
@@ -48,6 +48,8 @@
     void resign();
 
     [[nodiscard]] bool leading() const { return m_leading.has_value(); }
+    /// @return the latest term known.
+    [[nodiscard]] coordination::term known_term() const { return m_term; }
     /// @return the value of the present leader's key; empty where unknown.
     [[nodiscard]] const std::string& leader() const { return m_leader; }
 
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -99,6 +99,10 @@
                      const coordination::proposal& attempt,
                      const coordination::commit_outcome& outcome);
     void on_peer(daemon::peer_spoke&& message);
+    void on_stored(const std::string& id, const std::string& record);
+    void on_job_notice(const wire::job_notice& notice);
+    void on_end_notice(const wire::end_notice& notice);
+    void send_end_notices();
     void refresh_peers();
     /// Whether another live VM has more processor than this one.
     [[nodiscard]] bool outranked() const;
@@ -143,6 +147,7 @@
     std::map<std::string, base::instant> m_lapsed;
     kernel::timer m_tick_timer;
     kernel::timer m_slow_timer;
+    kernel::timer m_notice_timer;
     base::instant m_ticked_at{};
     bool m_tick_scheduled{false};
     bool m_drained{false};
@@ -152,7 +157,10 @@
     std::optional<coordination::leadership> m_mandate;
     std::unique_ptr<cluster::scheduler> m_scheduler;
     std::shared_ptr<coordination::committer> m_recorder;
+    /// Revision of each progress record written in this reign; never shrinks,
+    /// so that a job that has ended is not taken up again.
     std::unordered_map<std::string, coordination::revision> m_progress_at;
+    wire::end_notice m_ended; ///< gathered, not yet sent
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
 
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -144,9 +144,25 @@
     std::int32_t state{0}; ///< of the job, with `state`
 };
 
-using message = std::variant<heartbeat, holdings, document, locate, located,
-                             settled, forward, cancel, advice_request,
-                             advice_response, desk_request, desk_response>;
+/// Tells the leader of a job that the sender has stored, ahead of the watch.
+struct job_notice {
+    /// Of the leader, as the sender knows it: a notice that was held up must
+    /// not reach a later leader, who may have forgotten the job's end.
+    std::uint64_t term{0};
+    std::string id;
+    std::string job; ///< as stored
+};
+
+/// Tells of jobs whose ends are stored, ahead of the watch.
+struct end_notice {
+    std::vector<std::string> ids;
+    std::vector<std::int32_t> states; ///< goes with `ids`
+};
+
+using message =
+    std::variant<heartbeat, holdings, document, locate, located, settled,
+                 forward, cancel, advice_request, advice_response, desk_request,
+                 desk_response, job_notice, end_notice>;
 
 /// A message with its sender, "VM@incarnation".
 struct envelope {
--- a/src/cluster/job_book.cpp
+++ b/src/cluster/job_book.cpp
@@ -83,11 +83,24 @@
         !workload::is_terminal(entry.progress.state)) {
         entry.ended_at = now;
     }
-    entry.progress = *std::move(decoded);
     entry.progress_revision = record.revision;
+    bool older_than_notice = workload::is_terminal(entry.progress.state) &&
+                             !workload::is_terminal(decoded->state);
+    if (!older_than_notice) {
+        entry.progress = *std::move(decoded);
+    }
     return {book_change::progressed, id};
 }
 
+void job_book::note_end(const std::string& id, workload::job_state state,
+                        base::instant now) {
+    job_entry& entry = m_jobs[id];
+    if (!workload::is_terminal(entry.progress.state)) {
+        entry.progress.state = state;
+        entry.ended_at = now;
+    }
+}
+
 job_book::change job_book::apply_cancel(const std::string& id,
                                         const coordination::item& record) {
     if (record.deleted) {
--- a/src/cluster/job_desk.cpp
+++ b/src/cluster/job_desk.cpp
@@ -9,15 +9,16 @@
 using coordination::status;
 
 job_desk::job_desk(coordination::store& at, const job_book& book,
-                   std::shared_ptr<coordination::committer> writer)
-    : m_store(at), m_book(book), m_writer(std::move(writer)) {}
+                   std::shared_ptr<coordination::committer> writer,
+                   stored_handler on_stored)
+    : m_store(at), m_book(book), m_writer(std::move(writer)),
+      m_on_stored(std::move(on_stored)) {}
 
 void job_desk::submit(const workload::job& job, base::instant deadline,
                       const std::function<void(submit_result)>& done) {
     const std::string id = job.id;
     if (const job_entry* known = m_book.find(id);
-        known != nullptr &&
-        (known->job || known->progress_revision != coordination::absent)) {
+        known != nullptr && known->is_known()) {
         done(submit_result::accepted);
         return;
     }
@@ -27,12 +28,16 @@
     next.change.conditions.push_back({keys::job + id, coordination::absent});
     next.change.conditions.push_back(
         {keys::progress + id, coordination::absent});
+    std::string record = workload::encode(job);
     next.change.puts.push_back(
-        {keys::job + id, workload::encode(job), coordination::no_lease});
+        {keys::job + id, record, coordination::no_lease});
     next.give_up_at = deadline - answer_margin;
-    next.done = [self = shared_from_this(),
+    next.done = [self = shared_from_this(), id, record = std::move(record),
                  done](const coordination::commit_outcome& outcome) {
-        self->settle(outcome, done);
+        if (outcome.status == status::ok && self->m_on_stored) {
+            self->m_on_stored(id, record);
+        }
+        settle(outcome, done);
     };
     m_writer->submit(std::move(next));
 }
@@ -99,8 +104,7 @@
 void job_desk::state(const std::string& id,
                      const std::function<void(const state_result&)>& done) {
     const job_entry* known = m_book.find(id);
-    if (known != nullptr &&
-        (known->job || known->progress_revision != coordination::absent)) {
+    if (known != nullptr && known->is_known()) {
         state_result out;
         out.state = known->progress.state;
         done(out);
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -2,6 +2,7 @@
 
 #include "eelgrasslever/base/json.hpp"
 #include "eelgrasslever/observe/log.hpp"
+#include "eelgrasslever/workload/codec.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -38,14 +39,17 @@
 /// that are stopped or lost come no faster than one in a tenth of a second.
 constexpr int runs_a_term = 10'000;
 
-/// A VM that only answers clients reads changes in larger groups: how late an
-/// end is shown counts against objectives of 1.75 s and more.
+/// Ends and new jobs are told by peers; the watch is what counts where a
+/// notice is lost, against objectives of 1.75 s and more.
 constexpr coordination::follower_times front_times{
     .watch_wait = base::milliseconds(1000),
-    .cadence = base::milliseconds(150),
+    .cadence = base::milliseconds(300),
     .retry = base::milliseconds(150)};
-/// The leader starts urgent work within 250 ms of its acceptance.
-constexpr base::milliseconds leader_cadence{35};
+/// The leader takes cancellations from the watch, and jobs whose notice was
+/// lost, within half of the 250 ms that urgent work may wait.
+constexpr base::milliseconds leader_cadence{100};
+/// Ends gather for this long before they are told to the other VMs.
+constexpr base::milliseconds notice_spacing{10};
 /// Gathering time of transactions. Source: the store's 400 writing calls a
 /// second for all VMs; the leader's records add to each start's delay.
 constexpr base::milliseconds accept_spacing{10};
@@ -73,7 +77,11 @@
       m_endpoints(endpoints), m_advice(advice), m_records(std::move(records)),
       m_metrics(metrics), m_writer(std::make_shared<coordination::committer>(
                               owner, m_store, accept_spacing)),
-      m_desk(std::make_shared<cluster::job_desk>(m_store, m_book, m_writer)),
+      m_desk(std::make_shared<cluster::job_desk>(
+          m_store, m_book, m_writer,
+          [this](const std::string& id, const std::string& record) {
+              on_stored(id, record);
+          })),
       m_router(std::make_shared<request_router>(
           owner, *m_desk, m_book, m_store,
           [this](const std::string& address, wire::message content) {
@@ -87,7 +95,8 @@
                        }
                    }),
       m_tick_timer(owner, [this] { tick(); }),
-      m_slow_timer(owner, [this] { collect_garbage(); }) {
+      m_slow_timer(owner, [this] { collect_garbage(); }),
+      m_notice_timer(owner, [this] { send_end_notices(); }) {
     using coordination::follower;
     using coordination::item;
     m_book_follower = std::make_shared<follower>(
@@ -182,7 +191,8 @@
     if (!m_scheduler) {
         return;
     }
-    if (meaning.kind == cluster::book_change::accepted) {
+    if (meaning.kind == cluster::book_change::accepted &&
+        !m_progress_at.contains(meaning.id)) {
         m_scheduler->on_job(*m_book.find(meaning.id), now);
     } else if (meaning.kind == cluster::book_change::cancel_requested) {
         m_scheduler->on_cancel(meaning.id, now);
@@ -205,6 +215,65 @@
     refresh_peers();
 }
 
+// The leader learns of a job at once; the watch would tell it later.
+void cluster_service::on_stored(const std::string& id,
+                                const std::string& record) {
+    wire::job_notice notice{m_election->known_term(), id, record};
+    if (m_scheduler) {
+        on_job_notice(notice);
+        return;
+    }
+    const std::string& leader = m_election->leader();
+    auto found = m_members.find(leader.substr(0, leader.find('@')));
+    if (found != m_members.end()) {
+        send(found->second.peer_address, std::move(notice));
+    }
+}
+
+void cluster_service::on_job_notice(const wire::job_notice& notice) {
+    const cluster::job_entry* known = m_book.find(notice.id);
+    bool ended =
+        known != nullptr && workload::is_terminal(known->progress.state);
+    if (!m_scheduler || !m_mandate || m_mandate->term != notice.term ||
+        m_progress_at.contains(notice.id) || ended) {
+        return;
+    }
+    auto job = workload::decode_job(notice.job, notice.id);
+    if (!job) {
+        observe::log_error("job_notice_unreadable",
+                           {{"why", job.error().message()}});
+        return;
+    }
+    cluster::job_entry entry;
+    entry.job = std::make_shared<const workload::job>(*std::move(job));
+    entry.cancel_requested = known != nullptr && known->cancel_requested;
+    m_scheduler->on_job(entry, base::monotonic_now());
+    tick_soon();
+}
+
+void cluster_service::on_end_notice(const wire::end_notice& notice) {
+    auto now = base::monotonic_now();
+    std::size_t rows = std::min(notice.ids.size(), notice.states.size());
+    for (std::size_t i = 0; i < rows; ++i) {
+        auto state = static_cast<workload::job_state>(notice.states[i]);
+        bool valid = notice.states[i] >= 0 &&
+                     notice.states[i] <=
+                         static_cast<int>(workload::job_state::cancelled);
+        if (valid && workload::is_terminal(state)) {
+            m_book.note_end(notice.ids[i], state, now);
+        }
+    }
+}
+
+void cluster_service::send_end_notices() {
+    wire::end_notice notice = std::exchange(m_ended, {});
+    for (const auto& [name, peer] : m_members) {
+        if (name != m_options.vm) {
+            send(peer.peer_address, notice);
+        }
+    }
+}
+
 void cluster_service::refresh_peers() {
     std::map<std::string, std::string> others;
     for (const auto& [name, peer] : m_members) {
@@ -476,6 +545,14 @@
         answer_advice(message.from, *request);
         return;
     }
+    if (const auto* stored = std::get_if<wire::job_notice>(&message.content)) {
+        on_job_notice(*stored);
+        return;
+    }
+    if (const auto* ended = std::get_if<wire::end_notice>(&message.content)) {
+        on_end_notice(*ended);
+        return;
+    }
     if (const auto* asked = std::get_if<wire::desk_request>(&message.content)) {
         m_router->on_request(message.from, *asked);
         return;
@@ -564,6 +641,15 @@
     auto now = base::monotonic_now();
     if (outcome.status == status::ok) {
         m_progress_at[job] = outcome.revision;
+        if (!attempt.change.removals.empty()) {
+            auto ended = workload::decode_progress(progress, job);
+            m_book.note_end(job, ended->state, now);
+            if (m_ended.ids.empty()) {
+                m_notice_timer.start_once(notice_spacing);
+            }
+            m_ended.ids.push_back(job);
+            m_ended.states.push_back(static_cast<int>(ended->state));
+        }
         m_scheduler->on_recorded(job, version, now);
         tick_soon();
         return;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -117,6 +117,20 @@
     return {schema::Content_DeskResponse, out.Union()};
 }
 
+packed pack(FlatBufferBuilder& to, const job_notice& in) {
+    auto id = to.CreateString(in.id);
+    auto job = to.CreateString(in.job);
+    auto out = schema::CreateJobNotice(to, in.term, id, job);
+    return {schema::Content_JobNotice, out.Union()};
+}
+
+packed pack(FlatBufferBuilder& to, const end_notice& in) {
+    auto ids = to.CreateVectorOfStrings(in.ids);
+    auto states = to.CreateVector(in.states);
+    auto out = schema::CreateEndNotice(to, ids, states);
+    return {schema::Content_EndNotice, out.Union()};
+}
+
 std::string text(const flatbuffers::String* in) {
     return in == nullptr ? std::string() : in->str();
 }
@@ -252,6 +266,18 @@
         return unpack(*in.content_as_DeskRequest());
     case schema::Content_DeskResponse:
         return unpack(*in.content_as_DeskResponse());
+    case schema::Content_JobNotice: {
+        const auto* from = in.content_as_JobNotice();
+        return job_notice{from->term(), text(from->id()), text(from->job())};
+    }
+    case schema::Content_EndNotice: {
+        const auto* from = in.content_as_EndNotice();
+        end_notice out{texts(from->ids()), {}};
+        if (from->states() != nullptr) {
+            out.states.assign(from->states()->begin(), from->states()->end());
+        }
+        return out;
+    }
     case schema::Content_NONE:
         return std::nullopt;
     }
