Call a request unsent only if no byte of it was issued

Change: never sent means that no byte was issued; a start whose connection was refused is settled like one without a reply.

--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -33,7 +33,9 @@
 }
 
 bool settled_badly(order_status status) {
-    return status != order_status::done && status != order_status::unreachable;
+    return status != order_status::done &&
+           status != order_status::unreachable &&
+           status != order_status::refused_connection;
 }
 
 /// Whether a start or a stop there has no settled outcome yet.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -35,7 +35,7 @@
 
 void fill_result(transfer& item, CURLcode code) {
     item.result.reached = code == CURLE_OK;
-    item.result.never_sent = code == CURLE_COULDNT_CONNECT;
+
     if (code != CURLE_OK) {
         item.result.failure = curl_easy_strerror(code);
     }
@@ -48,6 +48,10 @@
     curl_easy_getinfo(item.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
     curl_easy_getinfo(item.easy, CURLINFO_HEADER_SIZE, &header_bytes);
     curl_easy_getinfo(item.easy, CURLINFO_SIZE_DOWNLOAD_T, &body_in);
+    // A request on a kept connection that dies is sent once more on a new one;
+    // where that is refused, the first sending may have been carried out.
+    item.result.never_sent =
+        code == CURLE_COULDNT_CONNECT && request_bytes == 0;
     item.result.bytes_sent = static_cast<std::uint64_t>(request_bytes);
     item.result.bytes_received = static_cast<std::uint64_t>(header_bytes) +
                                  static_cast<std::uint64_t>(body_in);
