Write log lines whole or not at all; latency histograms; a test of each line's fields

Refusals shared the budget of accepted jobs, four routine events could use up a second's lines, and accept and store times were quantiles only, which can't be added up over VMs. Change: a sink that writes each line with one call and counts what is lost; the budget counts an event with its outcome and keeps a fifth of the lines for rare ones; histograms of accept, wait to start, advice, order, store call and takeover; events for a job's first start and for a deduplicated one; token, ages and Retry-After on the lines that lacked them. Ruled out: a bounded buffer flushed by the loop (lines of an idle process would stay in it).

--- a/include/eelgrasslever/cluster/job_desk.hpp
+++ b/include/eelgrasslever/cluster/job_desk.hpp
@@ -21,6 +21,8 @@
 
 enum class cancel_result { cancelled, unknown_job, unavailable };
 
+[[nodiscard]] const char* to_string(cancel_result value);
+
 struct state_result {
     /// Nothing where the store could not be asked.
     std::optional<workload::job_state> state;
--- a/include/eelgrasslever/cluster/orders.hpp
+++ b/include/eelgrasslever/cluster/orders.hpp
@@ -124,6 +124,12 @@
     std::vector<std::pair<std::string, std::string>> admitted;
 };
 
+/// Durations that the scheduler measures.
+enum class latency_kind {
+    wait_to_start, ///< from a job's acceptance to its first start
+    advice,        ///< from a request for advice to its reply
+};
+
 /// How the leader acts on the world. Replies come back through `scheduler`.
 class scheduler_effects {
   public:
@@ -140,6 +146,8 @@
     /// Stores progress of a job; `scheduler::on_recorded` follows.
     virtual void record(const std::string& job, std::uint64_t version,
                         const std::string& progress, bool terminal) = 0;
+    virtual void on_measured(latency_kind what, const std::string& queue,
+                             base::milliseconds took) = 0;
     /// A higher token was seen: another VM leads.
     virtual void on_fenced(const std::string& endpoint) = 0;
 };
--- a/include/eelgrasslever/coordination/election.hpp
+++ b/include/eelgrasslever/coordination/election.hpp
@@ -22,6 +22,8 @@
 struct leadership {
     coordination::term term{0};
     condition proof;
+    /// When this VM first saw that nobody led.
+    base::instant vacant_since{};
 };
 
 class election : public std::enable_shared_from_this<election> {
@@ -75,6 +77,7 @@
     revision m_leader_revision{absent};
     lease_id m_leader_lease{no_lease};
     revision m_last_won{absent};
+    base::instant m_vacant_since{};
     revision m_term_revision{absent};
     term m_term{0};
     lease_id m_bid_lease{no_lease};
--- a/include/eelgrasslever/observe/log.hpp
+++ b/include/eelgrasslever/observe/log.hpp
@@ -2,6 +2,9 @@
 /// Logs: one line of key=value pairs for each event, through glog.
 #pragma once
 
+#include "eelgrasslever/observe/log_budget.hpp"
+
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,6 +20,17 @@
 [[nodiscard]] std::string format_event(const std::string& event,
                                        const log_fields& fields);
 
+/// Replaces the limits on lines a second.
+void limit_log(log_limits limits);
+
+/// Switches the lines of this process off and on; they are on at first.
+void enable_logging(bool enabled);
+
+/// Is told of each event before the budget decides on its line.
+using log_listener =
+    std::function<void(const std::string& event, const log_fields& fields)>;
+void listen_to_log(log_listener listener);
+
 void log_event(const std::string& event, const log_fields& fields = {});
 void log_error(const std::string& event, const log_fields& fields = {});
 
--- a/include/eelgrasslever/observe/metrics.hpp
+++ b/include/eelgrasslever/observe/metrics.hpp
@@ -2,6 +2,8 @@
 /// Counters, gauges and distributions, shown in the Prometheus text format.
 #pragma once
 
+#include "eelgrasslever/base/time.hpp"
+
 #include <sstream> // the quantile header below uses it without including it
 
 #include <boost/accumulators/accumulators.hpp>
@@ -9,6 +11,9 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <map>
 #include <string>
 #include <vector>
@@ -34,6 +39,26 @@
     accumulator m_values;
 };
 
+/// Durations counted in buckets, which can be added up over processes.
+class latency_histogram {
+  public:
+    latency_histogram();
+    void observe(base::milliseconds took);
+    /// @return the upper bounds of the buckets in seconds; one more bucket has
+    /// none. Source: the defaults of Prometheus clients.
+    [[nodiscard]] static const std::vector<double>& bounds();
+    /// @return how many were at most `bounds()[index]` long.
+    [[nodiscard]] std::uint64_t at_most(std::size_t index) const;
+    [[nodiscard]] std::uint64_t count() const { return m_count; }
+    [[nodiscard]] double sum_seconds() const { return m_sum_seconds; }
+
+  private:
+    using axis = boost::histogram::axis::variable<double>;
+    boost::histogram::histogram<std::tuple<axis>> m_buckets;
+    std::uint64_t m_count{0};
+    double m_sum_seconds{0.0};
+};
+
 /// All metrics of a process. Names carry their labels, such as
 /// `answers_total{outcome="completed"}`.
 class metrics {
@@ -42,6 +67,9 @@
     void set(const std::string& gauge, double value);
     void observe(const std::string& name, const std::string& label,
                  double value);
+    /// Counts @p took in the histogram @p name, which ends in "_seconds".
+    void observe_latency(const std::string& name, const std::string& label,
+                         base::milliseconds took);
 
     /// @return the page of all metrics.
     [[nodiscard]] std::string to_prometheus() const;
@@ -55,6 +83,7 @@
     std::map<std::string, double> m_counters;
     std::map<std::string, double> m_gauges;
     std::map<series, distribution> m_distributions;
+    std::map<series, latency_histogram> m_latencies;
 };
 
 /// What the scheduler itself consumes.
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -66,6 +66,10 @@
     [[nodiscard]] const cluster::job_book& book() const { return m_book; }
     /// Whether this VM can serve new clients.
     [[nodiscard]] bool ready(base::instant now) const;
+    /// @return for how long the store has been away; 0 where it is reachable.
+    [[nodiscard]] base::milliseconds store_away(base::instant now) const {
+        return m_store.away_for(now);
+    }
     /// @return when a client that is refused now should come back.
     [[nodiscard]] std::chrono::seconds retry_after(base::instant now) const;
     void refresh_gauges();
@@ -82,6 +86,8 @@
                     const cluster::advice_call& call) override;
     void record(const std::string& job, std::uint64_t version,
                 const std::string& progress, bool terminal) override;
+    void on_measured(cluster::latency_kind what, const std::string& queue,
+                     base::milliseconds took) override;
     void on_fenced(const std::string& endpoint) override;
 
   private:
@@ -113,6 +119,9 @@
     void tick_soon();
     void collect_garbage();
     void send(const std::string& address, wire::message content);
+    /// Counts an order's time since @p sent by its kind and outcome.
+    void observe_order(const char* kind, base::instant sent,
+                       cluster::order_status outcome);
     /// Runs @p act with the scheduler of @p reign if that still leads.
     template <typename Act>
     void with_scheduler(std::uint64_t reign, Act act) {
--- a/src/cluster/job_desk.cpp
+++ b/src/cluster/job_desk.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslever/cluster/job_desk.hpp"
 
+#include "eelgrasslever/observe/log.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 
 #include <utility>
@@ -8,6 +9,18 @@
 
 using coordination::status;
 
+const char* to_string(cancel_result value) {
+    switch (value) {
+    case cancel_result::cancelled:
+        return "cancelled";
+    case cancel_result::unknown_job:
+        return "unknown_job";
+    case cancel_result::unavailable:
+        return "unavailable";
+    }
+    return "unknown";
+}
+
 job_desk::job_desk(coordination::store& at, const job_book& book,
                    std::shared_ptr<coordination::committer> writer,
                    stored_handler on_stored)
@@ -19,6 +32,8 @@
     const std::string id = job.id;
     if (const job_entry* known = m_book.find(id);
         known != nullptr && known->is_known()) {
+        observe::log_event("job_deduplicated",
+                           {{"job", id}, {"known_from", "view"}});
         done(submit_result::accepted);
         return;
     }
@@ -37,6 +52,10 @@
         if (outcome.status == status::ok && self->m_on_stored) {
             self->m_on_stored(id, record);
         }
+        if (outcome.status == status::conflict) {
+            observe::log_event("job_deduplicated",
+                               {{"job", id}, {"known_from", "store"}});
+        }
         settle(outcome, done);
     };
     m_writer->submit(std::move(next));
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -512,11 +512,15 @@
         note_begun(order.task.job, now);
         return;
     }
-    observe::log_event("start_not_done",
-                       {{"task", workload::to_string(order.task)},
-                        {"run", number(order.run)},
-                        {"endpoint", id},
-                        {"why", to_string(reply.status)}});
+    observe::log_event(
+        "start_not_done",
+        {{"task", workload::to_string(order.task)},
+         {"run", number(order.run)},
+         {"endpoint", id},
+         {"token", std::to_string(m_mandate.token)},
+         {"why", to_string(reply.status)},
+         {"placed_ms_ago", number((now - run.started_at).count())},
+         {"seen_ms_ago", number((now - at.last_reply).count())}});
     if (!settled_badly(reply.status)) {
         if (run.phase == allocation_phase::starting) {
             run.phase = allocation_phase::uncertain;
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -172,6 +172,12 @@
         return;
     }
     job->run->mark_started();
+    base::milliseconds waited = now - job->run->seen_at();
+    observe::log_event(
+        "job_begun",
+        {{"job", id}, {"waited_ms", std::to_string(waited.count())}});
+    m_effects.on_measured(latency_kind::wait_to_start,
+                          job->run->job().queue.name, waited);
     touch(*job, now + group_starts);
 }
 
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -289,6 +289,7 @@
         {{"task", workload::to_string(key)},
          {"run", std::to_string(run)},
          {"endpoint", at.listing.id},
+         {"token", std::to_string(m_mandate.token)},
          {"waited_ms", std::to_string((now - step->unlocked_at).count())},
          {"free_cpu", std::to_string(at.free().cpu_milli)},
          {"seen_ms_ago", std::to_string((now - at.last_reply).count())}});
@@ -446,6 +447,8 @@
     }
     step->advice.in_flight = false;
     const workload::queue_policy& queue = job->run->job().queue;
+    m_effects.on_measured(latency_kind::advice, queue.name,
+                          now - call->asked_at);
     if (!reply.answered || !queue.advice) {
         step->advice.ask_after = now + advice_retry;
         return;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -47,6 +47,9 @@
     m_leader = change.deleted ? std::string() : change.value;
     m_leader_revision = change.deleted ? absent : change.revision;
     m_leader_lease = change.lease;
+    if (change.deleted) {
+        m_vacant_since = base::monotonic_now();
+    }
     observe::log_event("leader_seen",
                        {{"leader", m_leader.empty() ? "none" : m_leader},
                         {"revision", std::to_string(change.revision)}});
@@ -72,6 +75,9 @@
 
 void election::on_view_loaded() {
     m_loaded = true;
+    if (m_vacant_since == base::instant{}) {
+        m_vacant_since = base::monotonic_now();
+    }
     consider();
 }
 
@@ -181,7 +187,7 @@
     m_leader = m_self;
     m_leader_revision = at;
     m_last_won = at;
-    m_leading = leadership{m_term, {m_leader_key, at}};
+    m_leading = leadership{m_term, {m_leader_key, at}, m_vacant_since};
     observe::log_event("leadership_won", {{"term", std::to_string(m_term)},
                                           {"revision", std::to_string(at)}});
     m_call.on_won(*m_leading);
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,10 +1,12 @@
 #include "eelgrasslever/observe/log.hpp"
 
-#include "eelgrasslever/observe/log_budget.hpp"
+#include "eelgrasslever/observe/line_output.hpp"
 
-#include <fcntl.h>
+#include <algorithm>
+#include <array>
 #include <glog/logging.h>
 #include <unistd.h>
+#include <utility>
 
 namespace eelgrasslever::observe {
 
@@ -26,17 +28,68 @@
     return out + "\"";
 }
 
-/// @return whether a line of @p event is within the budget; reports what was
-/// left out before.
-bool admit(const std::string& event) {
-    static log_budget budget;
+/// Fields whose values tell routine outcomes of an event from others, such as
+/// an accepted job from a refused one. They have few values each.
+constexpr std::array outcome_fields{"outcome", "how", "state"};
+
+/// @return what the budget counts the line under.
+std::string budget_class(const std::string& event, const log_fields& fields) {
+    auto outcome =
+        std::find_if(fields.begin(), fields.end(), [](const auto& field) {
+            return std::find(outcome_fields.begin(), outcome_fields.end(),
+                             field.first) != outcome_fields.end();
+        });
+    return outcome == fields.end() ? event : event + ":" + outcome->second;
+}
+
+struct log_state {
+    line_output output{STDOUT_FILENO};
+    log_budget budget;
+    log_listener listener;
+    bool enabled{true};
+};
+
+log_state& shared_state() {
+    static log_state state;
+    return state;
+}
+
+/// Reports the lines that are missing since the last report.
+void report_missing(log_state& state, base::instant now) {
+    auto missing = state.budget.take_dropped(now);
+    std::uint64_t lost = state.output.take_lost();
+    if (lost > 0) {
+        missing.emplace_back("output", static_cast<int>(lost));
+    }
+    for (const auto& [name, count] : missing) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, INFO)
+            << format_event("log_lines_left_out",
+                            {{"of", name}, {"count", std::to_string(count)}});
+    }
+}
+
+void write(google::LogSeverity severity, const std::string& event,
+           const log_fields& fields) {
+    log_state& state = shared_state();
+    if (state.listener) {
+        state.listener(event, fields);
+    }
+    if (!state.enabled) {
+        return;
+    }
     auto now = base::monotonic_now();
-    bool admitted = budget.admit(event, now);
-    for (const auto& [name, count] : budget.take_dropped(now)) {
-        LOG(INFO) << "event=log_lines_left_out of=" << name
-                  << " count=" << count;
+    bool admitted = state.budget.admit(budget_class(event, fields), now);
+    report_missing(state, now);
+    if (!admitted) {
+        return;
+    }
+    if (severity == google::GLOG_ERROR) {
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, ERROR)
+            << format_event(event, fields);
+        return;
     }
-    return admitted;
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, INFO)
+        << format_event(event, fields);
 }
 
 } // namespace
@@ -46,9 +99,19 @@
     name = program;
     FLAGS_logtostdout = true;
     google::InitGoogleLogging(name.c_str());
-    // Output that nobody reads loses lines; it must not hold up the loop.
-    int flags = fcntl(STDOUT_FILENO, F_GETFL);
-    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    shared_state();
+}
+
+void limit_log(log_limits limits) {
+    shared_state().budget = log_budget(limits);
+}
+
+void enable_logging(bool enabled) {
+    shared_state().enabled = enabled;
+}
+
+void listen_to_log(log_listener listener) {
+    shared_state().listener = std::move(listener);
 }
 
 std::string format_event(const std::string& event, const log_fields& fields) {
@@ -60,15 +123,11 @@
 }
 
 void log_event(const std::string& event, const log_fields& fields) {
-    if (admit(event)) {
-        LOG(INFO) << format_event(event, fields);
-    }
+    write(google::GLOG_INFO, event, fields);
 }
 
 void log_error(const std::string& event, const log_fields& fields) {
-    if (admit(event)) {
-        LOG(ERROR) << format_event(event, fields);
-    }
+    write(google::GLOG_ERROR, event, fields);
 }
 
 } // namespace eelgrasslever::observe
--- a/src/observe/log_budget.cpp
+++ b/src/observe/log_budget.cpp
@@ -23,9 +23,12 @@
 
 bool log_budget::admit(const std::string& event, base::instant now) {
     roll(now);
-    if (m_lines < lines_in_all && m_by_event[event] < lines_per_event) {
+    int& lines = m_by_event[event];
+    int room = lines < rare_lines ? m_limits.in_all
+                                  : m_limits.in_all - m_limits.for_rare;
+    if (m_lines < room && lines < m_limits.per_event) {
         m_lines++;
-        m_by_event[event]++;
+        lines++;
         return true;
     }
     m_dropped[event]++;
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -285,10 +285,13 @@
             open++;
         }
     }
+    base::milliseconds vacant = now - m_mandate->vacant_since;
+    m_metrics.observe_latency("takeover_seconds", "", vacant);
     observe::log_event("leading",
                        {{"term", std::to_string(m_mandate->term)},
                         {"jobs", std::to_string(open)},
-                        {"endpoints", std::to_string(m_listings.size())}});
+                        {"endpoints", std::to_string(m_listings.size())},
+                        {"vacant_ms", std::to_string(vacant.count())}});
     tick_soon();
 }
 
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -43,26 +43,38 @@
         return;
     }
     m_metrics.add("starts_ordered");
-    m_endpoints.start(at, token, order,
-                      [this, id = at.id, order,
-                       reign = m_reign](const cluster::order_reply& reply) {
-                          with_scheduler(reign, [&](auto& to, auto now) {
-                              to.on_started(id, order, reply, now);
-                          });
-                      });
+    m_endpoints.start(
+        at, token, order,
+        [this, id = at.id, order, reign = m_reign,
+         sent = base::monotonic_now()](const cluster::order_reply& reply) {
+            observe_order("start", sent, reply.status);
+            with_scheduler(reign, [&](auto& to, auto now) {
+                to.on_started(id, order, reply, now);
+            });
+        });
 }
 
 void cluster_service::stop(const cluster::endpoint_listing& at,
                            cluster::fencing_token token,
                            const cluster::stop_order& order) {
     m_metrics.add("stops_ordered");
-    m_endpoints.stop(at, token, order,
-                     [this, id = at.id, order,
-                      reign = m_reign](const cluster::order_reply& reply) {
-                         with_scheduler(reign, [&](auto& to, auto now) {
-                             to.on_stopped(id, order, reply, now);
-                         });
-                     });
+    m_endpoints.stop(
+        at, token, order,
+        [this, id = at.id, order, reign = m_reign,
+         sent = base::monotonic_now()](const cluster::order_reply& reply) {
+            observe_order("stop", sent, reply.status);
+            with_scheduler(reign, [&](auto& to, auto now) {
+                to.on_stopped(id, order, reply, now);
+            });
+        });
+}
+
+void cluster_service::observe_order(const char* kind, base::instant sent,
+                                    cluster::order_status outcome) {
+    m_metrics.observe_latency("order_seconds",
+                              std::string("kind=\"") + kind + "\",outcome=\"" +
+                                  cluster::to_string(outcome) + "\"",
+                              base::monotonic_now() - sent);
 }
 
 void cluster_service::hold(const cluster::endpoint_listing& at,
@@ -178,6 +190,15 @@
     tick_soon();
 }
 
+void cluster_service::on_measured(cluster::latency_kind what,
+                                  const std::string& queue,
+                                  base::milliseconds took) {
+    const char* name = what == cluster::latency_kind::advice
+                           ? "advice_seconds"
+                           : "wait_to_start_seconds";
+    m_metrics.observe_latency(name, "queue=\"" + queue + "\"", took);
+}
+
 void cluster_service::on_fenced(const std::string& endpoint) {
     observe::log_event("fenced", {{"endpoint", endpoint}});
     m_owner.defer([this, reign = m_reign, alive = m_alive] {
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -2,8 +2,12 @@
 // by the fleet at each start.
 #include "fake_fleet.hpp"
 
+#include "eelgrasslever/observe/log.hpp"
+
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <map>
+#include <set>
 
 using namespace eelgrasslever;
 using test::fake_fleet;
@@ -134,3 +138,74 @@
         }
     }
 }
+
+namespace {
+
+/// What the line of each decision must hold, whatever else it does.
+const std::map<std::string, std::set<std::string>> required_fields{
+    {"task_placed",
+     {"task", "run", "endpoint", "token", "waited_ms", "free_cpu",
+      "seen_ms_ago"}},
+    {"start_not_done",
+     {"task", "run", "endpoint", "token", "why", "placed_ms_ago",
+      "seen_ms_ago"}},
+    {"task_ended", {"task", "run", "endpoint", "how", "ran_ms"}},
+    {"job_begun", {"job", "waited_ms"}},
+    {"job_ended", {"job", "state", "why", "age_ms"}},
+    {"advice_asked", {"step", "query", "channel", "candidates", "missing"}},
+    {"advice", {"step", "query", "answered", "admitted", "asked", "took_ms"}},
+    {"endpoint_silent", {"endpoint", "why", "runs"}},
+    {"endpoint_back", {"endpoint"}},
+    {"endpoint_inventoried", {"endpoint", "running", "ended"}},
+    {"run_missing", {"task", "run", "endpoint"}},
+    {"runs_lost", {"endpoint", "runs", "why"}},
+};
+
+struct event_recorder {
+    event_recorder() {
+        observe::listen_to_log([this](const std::string& event,
+                                      const observe::log_fields& fields) {
+            seen.insert(event);
+            auto required = required_fields.find(event);
+            if (required == required_fields.end()) {
+                return;
+            }
+            std::set<std::string> names;
+            for (const auto& [name, value] : fields) {
+                names.insert(name);
+                if (value.empty()) {
+                    faults.insert(event + ": " + name + " is empty");
+                }
+            }
+            for (const std::string& name : required->second) {
+                if (!names.contains(name)) {
+                    faults.insert(event + ": no " + name);
+                }
+            }
+        });
+        observe::enable_logging(false);
+    }
+    ~event_recorder() {
+        observe::listen_to_log(nullptr);
+        observe::enable_logging(true);
+    }
+
+    std::set<std::string> seen;
+    std::set<std::string> faults;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_line_of_each_decision_has_its_fields) {
+    event_recorder recorder;
+    constexpr std::uint64_t days = 40;
+    for (std::uint64_t seed = 1; seed <= days; ++seed) {
+        random_day(seed).play();
+    }
+    for (const std::string& fault : recorder.faults) {
+        BOOST_ERROR(fault);
+    }
+    for (const auto& [event, fields] : required_fields) {
+        BOOST_TEST(recorder.seen.contains(event), "never seen: " << event);
+    }
+}
--- a/tests/observe/observe_test.cpp
+++ b/tests/observe/observe_test.cpp
@@ -42,3 +42,27 @@
     BOOST_TEST(page.find("waiting_seconds_count{class=\"urgent\"} 1000") !=
                std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(latencies_are_shown_as_cumulative_buckets) {
+    metrics all;
+    all.observe_latency("accept_seconds", "queue=\"q\"",
+                        std::chrono::milliseconds(5));
+    all.observe_latency("accept_seconds", "queue=\"q\"",
+                        std::chrono::milliseconds(300));
+    all.observe_latency("accept_seconds", "queue=\"q\"",
+                        std::chrono::milliseconds(60'000));
+    all.observe_latency("takeover_seconds", "",
+                        std::chrono::milliseconds(1200));
+    std::string page = all.to_prometheus();
+    for (const char* line :
+         {"# TYPE eelgrasslever_accept_seconds histogram\n",
+          "eelgrasslever_accept_seconds_bucket{queue=\"q\",le=\"0.005\"} 1\n",
+          "eelgrasslever_accept_seconds_bucket{queue=\"q\",le=\"0.5\"} 2\n",
+          "eelgrasslever_accept_seconds_bucket{queue=\"q\",le=\"10\"} 2\n",
+          "eelgrasslever_accept_seconds_bucket{queue=\"q\",le=\"+Inf\"} 3\n",
+          "eelgrasslever_accept_seconds_count{queue=\"q\"} 3\n",
+          "eelgrasslever_takeover_seconds_bucket{le=\"2.5\"} 1\n",
+          "eelgrasslever_takeover_seconds_sum 1.2\n"}) {
+        BOOST_TEST(page.find(line) != std::string::npos, line);
+    }
+}
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -442,6 +442,9 @@
     });
 }
 
+void fake_fleet::on_measured(cluster::latency_kind, const std::string&,
+                             milliseconds) {}
+
 void fake_fleet::on_fenced(const std::string&) {}
 
 void fake_fleet::step() {
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -96,6 +96,8 @@
                     const cluster::advice_call& call) override;
     void record(const std::string& job, std::uint64_t version,
                 const std::string& progress, bool terminal) override;
+    void on_measured(cluster::latency_kind what, const std::string& queue,
+                     milliseconds took) override;
     void on_fenced(const std::string& endpoint) override;
 
   private:
