Ignore time-outs older than the latest reply when judging the store

Change: a time-out counts only if its call was sent after the latest reply, and so does silence; a refusal always counts.

--- a/src/coordination/monitored_store.cpp
+++ b/src/coordination/monitored_store.cpp
@@ -10,11 +10,8 @@
     if (m_last_bad > m_last_good) {
         return false;
     }
-    if (m_pending.empty()) {
-        return true;
-    }
-    base::instant oldest = *m_pending.begin();
-    return now - oldest < silence_limit || m_last_good > oldest;
+    auto unanswered = m_pending.upper_bound(m_last_good);
+    return unanswered == m_pending.end() || now - *unanswered < silence_limit;
 }
 
 base::milliseconds monitored_store::away_for(base::instant now) const {
@@ -24,6 +21,11 @@
 void monitored_store::take(base::instant sent, status result) {
     m_pending.erase(m_pending.find(sent));
     auto now = base::monotonic_now();
+    // The time-out of a call that is older than the latest reply tells of an
+    // outage that has ended.
+    if (result == status::unreachable && sent <= m_last_good) {
+        return;
+    }
     bool bad = result == status::unreachable || result == status::refused;
     bool was_good = m_last_good >= m_last_bad;
     if (bad) {
--- a/tests/support/scripted_store.hpp
+++ b/tests/support/scripted_store.hpp
@@ -12,7 +12,7 @@
 
 namespace eelgrasslever::test {
 
-class scripted_store final : public coordination::store {
+class scripted_store : public coordination::store {
   public:
     using status = coordination::status;
 
