--- a/include/eelgrasslever/coordination/election.hpp
+++ b/include/eelgrasslever/coordination/election.hpp
@@ -46,6 +46,9 @@
     void on_fenced();
     /// Lets VMs that are fitter to lead bid first.
     void set_reluctant(bool reluctant) { m_reluctant = reluctant; }
+    /// Gives leadership up to another VM; where none takes it, this one bids
+    /// again. Leadership is kept if the store does not confirm.
+    void hand_over();
     /// Gives leadership up and bids no more.
     void resign();
 
@@ -86,6 +89,7 @@
     bool m_resigned{false};
     bool m_reluctant{false};
     bool m_led_before{false};
+    bool m_handing_over{false};
 };
 
 } // namespace eelgrasslever::coordination
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -14,6 +14,7 @@
 #include "eelgrasslever/daemon/peer_links.hpp"
 #include "eelgrasslever/observe/metrics.hpp"
 #include "eelgrasslever/service/gateways.hpp"
+#include "eelgrasslever/service/member_table.hpp"
 #include "eelgrasslever/service/request_router.hpp"
 
 #include <functional>
@@ -110,8 +111,8 @@
     void on_end_notice(const wire::end_notice& notice);
     void send_end_notices();
     void refresh_peers();
-    /// Whether another live VM has more processor than this one.
-    [[nodiscard]] bool outranked() const;
+    /// Leaves the lead to a much fitter VM.
+    void consider_handover();
     void answer_advice(const std::string& reply_to,
                        const wire::advice_request& request);
     [[nodiscard]] bool may_order() const;
@@ -150,11 +151,7 @@
     std::shared_ptr<request_router> m_router;
     kernel::mailbox<daemon::to_scheduler> m_peer_inbox;
     std::unique_ptr<daemon::peer_links> m_links;
-    struct member {
-        std::string peer_address;
-        double cores{0.0};
-    };
-    std::map<std::string, member> m_members; ///< by VM
+    member_table m_members;
     std::map<std::string, cluster::endpoint_listing> m_listings;
     /// Listings that vanished in an outage of the store, and until when they
     /// may come back.
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -93,6 +93,25 @@
     }
 }
 
+void election::hand_over() {
+    if (!m_leading || m_handing_over) {
+        return;
+    }
+    m_handing_over = true;
+    transaction change;
+    change.conditions.push_back(m_leading->proof);
+    change.removals.push_back(m_leader_key);
+    m_store.commit(change, [self = shared_from_this(),
+                            term = m_leading->term](const commit_reply& reply) {
+        self->m_handing_over = false;
+        if (reply.status == status::ok && self->m_leading &&
+            self->m_leading->term == term) {
+            self->m_led_before = false;
+            self->lose("handed over");
+        }
+    });
+}
+
 void election::resign() {
     m_resigned = true;
     m_timer.cancel();
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -82,8 +82,13 @@
                            on_peer(std::move(*spoke));
                        }
                    }),
+      m_members(m_options.vm, m_options.cores),
       m_tick_timer(owner, [this] { tick(); }),
-      m_slow_timer(owner, [this] { collect_garbage(); }),
+      m_slow_timer(owner,
+                   [this] {
+                       collect_garbage();
+                       consider_handover();
+                   }),
       m_notice_timer(owner, [this] { send_end_notices(); }) {
     using coordination::follower;
     using coordination::item;
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -109,7 +109,9 @@
     request.step = call.step.step;
     request.candidates = call.candidates;
     request.timeout = call.timeout;
-    send(m_members[channel].peer_address, std::move(request));
+    if (const member* peer = m_members.find(channel)) {
+        send(peer->peer_address, std::move(request));
+    }
 }
 
 void cluster_service::record(const std::string& job, std::uint64_t version,
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -13,13 +13,15 @@
 void cluster_service::on_member_item(const coordination::item& change) {
     std::string vm =
         change.key.substr(std::string(cluster::keys::member).size());
-    m_members.erase(vm);
-    if (!change.deleted) {
-        auto entry = base::parse_object(change.value, "member.read", vm);
-        if (entry) {
-            m_members[vm] = {entry->value("peer", ""),
-                             entry->value("cores", 0.0)};
-        }
+    auto now = base::monotonic_now();
+    auto entry = change.deleted
+                     ? base::result<nlohmann::json>()
+                     : base::parse_object(change.value, "member.read", vm);
+    if (!change.deleted && entry) {
+        m_members.put(
+            vm, {entry->value("peer", ""), entry->value("cores", 0.0)}, now);
+    } else {
+        m_members.remove(vm, now);
     }
     observe::log_event(change.deleted ? "member_left" : "member_seen",
                        {{"vm", vm}});
@@ -35,9 +37,8 @@
         return;
     }
     const std::string& leader = m_election->leader();
-    auto found = m_members.find(leader.substr(0, leader.find('@')));
-    if (found != m_members.end()) {
-        send(found->second.peer_address, std::move(notice));
+    if (const member* at = m_members.find(leader.substr(0, leader.find('@')))) {
+        send(at->peer_address, std::move(notice));
     }
 }
 
@@ -78,36 +79,26 @@
 
 void cluster_service::send_end_notices() {
     wire::end_notice notice = std::exchange(m_ended, {});
-    for (const auto& [name, peer] : m_members) {
-        if (name != m_options.vm) {
-            send(peer.peer_address, notice);
-        }
+    for (const auto& [name, address] : m_members.peers()) {
+        send(address, notice);
     }
 }
 
 void cluster_service::refresh_peers() {
-    std::map<std::string, std::string> others;
-    for (const auto& [name, peer] : m_members) {
-        if (name != m_options.vm) {
-            others[name] = peer.peer_address;
-        }
-    }
-    m_router->set_peers(std::move(others));
-    m_election->set_reluctant(outranked());
-    if (!m_scheduler) {
-        return;
-    }
-    std::vector<std::string> names;
-    for (const auto& [name, peer] : m_members) {
-        names.push_back(name);
+    auto now = base::monotonic_now();
+    m_router->set_peers(m_members.peers());
+    m_election->set_reluctant(m_members.outranked(now));
+    if (m_scheduler) {
+        m_scheduler->set_channels(m_members.names(), now);
     }
-    m_scheduler->set_channels(names, base::monotonic_now());
 }
 
-bool cluster_service::outranked() const {
-    return std::any_of(
-        m_members.begin(), m_members.end(),
-        [&](const auto& row) { return row.second.cores > m_options.cores; });
+void cluster_service::consider_handover() {
+    auto now = base::monotonic_now();
+    m_election->set_reluctant(m_members.outranked(now));
+    if (m_scheduler && m_members.should_hand_over(now)) {
+        m_election->hand_over();
+    }
 }
 
 void cluster_service::send(const std::string& address, wire::message content) {
--- a/tests/coordination/election_test.cpp
+++ b/tests/coordination/election_test.cpp
@@ -113,4 +113,53 @@
     test::run_loop(loop, base::milliseconds(20));
 }
 
+BOOST_AUTO_TEST_CASE(a_reluctant_leader_hands_over_to_a_fitter_vm) {
+    kernel::loop loop;
+    scripted_store store(loop);
+    {
+        candidate small(loop, store, "small");
+        test::run_loop(loop, soon);
+        BOOST_TEST(small.election->leading());
+        candidate fit(loop, store, "fit");
+        test::run_loop(loop, base::milliseconds(50));
+        small.election->set_reluctant(true);
+        small.election->hand_over();
+        test::run_loop(loop, soon);
+        BOOST_TEST(!small.election->leading());
+        BOOST_TEST(fit.election->leading());
+        BOOST_TEST(small.losses == 1);
+    }
+    test::run_loop(loop, base::milliseconds(20));
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_whose_handover_nobody_takes_leads_again) {
+    kernel::loop loop;
+    scripted_store store(loop);
+    {
+        candidate alone(loop, store, "alone");
+        test::run_loop(loop, soon);
+        alone.election->set_reluctant(true);
+        alone.election->hand_over();
+        test::run_loop(loop, 3 * soon);
+        BOOST_TEST(alone.election->leading());
+        BOOST_TEST(alone.terms.size() == 2u);
+    }
+    test::run_loop(loop, base::milliseconds(20));
+}
+
+BOOST_AUTO_TEST_CASE(a_handover_that_the_store_refuses_changes_nothing) {
+    kernel::loop loop;
+    scripted_store store(loop);
+    {
+        candidate alone(loop, store, "alone");
+        test::run_loop(loop, soon);
+        store.otherwise = {status::refused, false};
+        alone.election->hand_over();
+        test::run_loop(loop, base::milliseconds(50));
+        BOOST_TEST(alone.election->leading());
+        store.otherwise = {status::ok, true};
+    }
+    test::run_loop(loop, base::milliseconds(20));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
