--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -29,7 +29,7 @@
     base::milliseconds authority{6000};
     /// Share of each endpoint kept free of work that is not urgent, so that
     /// urgent work starts at once. Source: urgent work's share of the offered
-    /// load at both deployments, doubled for bursts.
+    /// load at both deployments (11%) and a third more for bursts.
     double urgent_headroom{0.15};
 };
 
