Look at waiting steps behind the first hundred by turns

A pass looked at the first 200 waiting steps in rank only; with more gangs than that ahead, waiting for advice or room, no batch step was ever looked at. Ruled out: the leader's size (0.5 core in each term), reservations (they hold half of the fleet at most). Change: a pass looks at the first 100 in rank and at 100 of the others by turns. Test: work_behind_many_steps_that_wait_is_placed, failing before.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -171,6 +171,7 @@
 
     // Placement.
     void place_all(base::instant now);
+    [[nodiscard]] std::vector<rank> steps_to_look_at();
     bool place_step(const rank& at, base::instant now);
     void place_each(job_state& job, const rank& at, step_run& step,
                     base::instant now);
@@ -218,6 +219,7 @@
     std::set<std::string> m_unrecorded;
     base::instant m_swept_at{};
     std::set<rank> m_ready;
+    rank m_last_turn; ///< the last of those that were looked at by turns
     std::list<reservation> m_reservations;
     /// The first in rank among those that reserve an endpoint.
     std::unordered_map<const endpoint_run*, const rank*> m_reserved_for;
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -13,8 +13,11 @@
 constexpr base::milliseconds start_window{1500};
 /// How often a waiting gang's reservation is chosen anew.
 constexpr base::milliseconds reservation_period{100};
-/// Steps looked at in one pass; bounds the time of a pass under overload.
-constexpr int steps_a_pass = 200;
+/// Steps looked at in one pass: the first in rank, and others by turns. Bounds
+/// the time of a pass under overload. Source: the 10 ms between passes leave
+/// 50 us for each look.
+constexpr std::size_t first_steps = 100;
+constexpr std::size_t turn_steps = 100;
 
 bool has_ticket(const step_advice& advice, base::instant now) {
     return std::any_of(
@@ -33,12 +36,7 @@
             m_usable.push_back(&at);
         }
     }
-    std::vector<rank> order(m_ready.begin(), m_ready.end());
-    int looked_at = 0;
-    for (const rank& at : order) {
-        if (looked_at++ >= steps_a_pass) {
-            break;
-        }
+    for (const rank& at : steps_to_look_at()) {
         if (place_step(at, now)) {
             m_ready.erase(at);
             unreserve(at);
@@ -46,6 +44,30 @@
     }
 }
 
+// The first in rank are looked at in each pass. The others take turns, as
+// those ahead of them may wait for what others don't need.
+std::vector<scheduler::rank> scheduler::steps_to_look_at() {
+    std::vector<rank> out;
+    auto next = m_ready.begin();
+    for (; next != m_ready.end() && out.size() < first_steps; ++next) {
+        out.push_back(*next);
+    }
+    if (next == m_ready.end()) {
+        return out;
+    }
+    auto turn = m_last_turn < *next ? next : m_ready.upper_bound(m_last_turn);
+    std::size_t left = std::min(turn_steps, m_ready.size() - out.size());
+    for (; left > 0; --left) {
+        if (turn == m_ready.end()) {
+            turn = next;
+        }
+        out.push_back(*turn);
+        m_last_turn = *turn;
+        ++turn;
+    }
+    return out;
+}
+
 /// @return whether no task of the step waits any more.
 bool scheduler::place_step(const rank& at, base::instant now) {
     job_state* job = find_job(at.job);
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -228,4 +228,26 @@
     expect_clean(fleet);
 }
 
+// Load: hundreds of gangs that can't be placed yet, ahead in rank.
+BOOST_AUTO_TEST_CASE(work_behind_many_steps_that_wait_is_placed) {
+    fake_fleet fleet(13, {});
+    for (int i = 0; i < 4; ++i) {
+        fleet.add_endpoint("e" + std::to_string(i), cores(8));
+    }
+    fleet.elect();
+    constexpr int gangs = 450;
+    for (int i = 0; i < gangs; ++i) {
+        workload::job wide = make_job("wide" + std::to_string(i), 6, 7000);
+        wide.steps.front().gang = true;
+        wide.queue.priority = 1;
+        fleet.submit(wide);
+    }
+    workload::job batch = make_job("batch", 2, 500);
+    batch.queue.priority = 2;
+    fleet.submit(batch);
+    fleet.run_for(2 * second);
+    BOOST_TEST((fleet.progress_of("batch").state == job_state::completed));
+    expect_clean(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
