Tools keep their standard output: only daemons log to it

Cause: reading the diff, the sink for log lines was made on first use, so that a command-line tool that logs would have written to its result and switched its output to non-blocking. Change: start_logging makes it.

--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <glog/logging.h>
+#include <memory>
 #include <unistd.h>
 #include <utility>
 
@@ -43,7 +44,9 @@
 }
 
 struct log_state {
-    line_output output{STDOUT_FILENO};
+    /// Set by `start_logging`; until then lines go where glog puts them, as in
+    /// tools whose standard output is their result.
+    std::unique_ptr<line_output> output;
     log_budget budget;
     log_listener listener;
     bool enabled{true};
@@ -54,17 +57,30 @@
     return state;
 }
 
+void print(const log_state& state, google::LogSeverity severity,
+           const std::string& line) {
+    if (!state.output) {
+        google::LogMessage(__FILE__, __LINE__, severity).stream() << line;
+        return;
+    }
+    constexpr bool to_log_file = false;
+    google::LogMessage(__FILE__, __LINE__, severity, state.output.get(),
+                       to_log_file)
+            .stream()
+        << line;
+}
+
 /// Reports the lines that are missing since the last report.
 void report_missing(log_state& state, base::instant now) {
     auto missing = state.budget.take_dropped(now);
-    std::uint64_t lost = state.output.take_lost();
+    std::uint64_t lost = state.output ? state.output->take_lost() : 0;
     if (lost > 0) {
         missing.emplace_back("output", static_cast<int>(lost));
     }
     for (const auto& [name, count] : missing) {
-        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, INFO)
-            << format_event("log_lines_left_out",
-                            {{"of", name}, {"count", std::to_string(count)}});
+        print(state, google::GLOG_INFO,
+              format_event("log_lines_left_out",
+                           {{"of", name}, {"count", std::to_string(count)}}));
     }
 }
 
@@ -80,16 +96,9 @@
     auto now = base::monotonic_now();
     bool admitted = state.budget.admit(budget_class(event, fields), now);
     report_missing(state, now);
-    if (!admitted) {
-        return;
-    }
-    if (severity == google::GLOG_ERROR) {
-        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, ERROR)
-            << format_event(event, fields);
-        return;
+    if (admitted) {
+        print(state, severity, format_event(event, fields));
     }
-    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&state.output, INFO)
-        << format_event(event, fields);
 }
 
 } // namespace
@@ -97,9 +106,8 @@
 void start_logging(const std::string& program) {
     static std::string name;
     name = program;
-    FLAGS_logtostdout = true;
     google::InitGoogleLogging(name.c_str());
-    shared_state();
+    shared_state().output = std::make_unique<line_output>(STDOUT_FILENO);
 }
 
 void limit_log(log_limits limits) {
