Pause between handovers of the lead

Cause, found by reading: a fitter VM that is listed but draining no longer bids, so a small leader would have handed over each second and won again 0.4 s later. Ruled out: removing a draining VM's entry (peers relay requests through it). Change: 30 s between handovers.

--- a/include/eelgrasslever/service/member_table.hpp
+++ b/include/eelgrasslever/service/member_table.hpp
@@ -25,6 +25,10 @@
     /// it. Source: longer than a VM takes to load its view, and rare enough
     /// that a takeover (0.1 to 0.3 s) costs little.
     static constexpr base::milliseconds settling_time{3000};
+    /// Pause between two handovers. Source: a fitter member that does not take
+    /// the lead is draining, which ends within the grace of a planned stop (6
+    /// s), or can't load its view; five times that.
+    static constexpr base::milliseconds handover_pause{30'000};
     /// A leader hands over only to a member with this many times its cores.
     static constexpr double handover_ratio = 2.0;
 
@@ -38,6 +42,9 @@
     [[nodiscard]] bool outranked(base::instant now) const;
     /// @return whether a much fitter VM has been alive for some time.
     [[nodiscard]] bool should_hand_over(base::instant now) const;
+    void note_handover(base::instant now) {
+        m_next_handover = now + handover_pause;
+    }
 
     /// @return the entry of @p vm, or nullptr.
     [[nodiscard]] const member* find(const std::string& vm) const;
@@ -59,6 +66,7 @@
 
     std::string m_self;
     double m_own_cores;
+    base::instant m_next_handover{};
     std::map<std::string, live_member> m_live;
     std::map<std::string, former_member> m_former;
 };
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -97,6 +97,7 @@
     auto now = base::monotonic_now();
     m_election->set_reluctant(m_members.outranked(now));
     if (m_scheduler && m_members.should_hand_over(now)) {
+        m_members.note_handover(now);
         m_election->hand_over();
     }
 }
--- a/src/service/member_table.cpp
+++ b/src/service/member_table.cpp
@@ -34,6 +34,9 @@
 }
 
 bool member_table::should_hand_over(base::instant now) const {
+    if (now < m_next_handover) {
+        return false;
+    }
     return std::any_of(m_live.begin(), m_live.end(), [&](const auto& row) {
         return row.second.entry.cores >= handover_ratio * m_own_cores &&
                now - row.second.since >= settling_time;
--- a/tests/service/member_table_test.cpp
+++ b/tests/service/member_table_test.cpp
@@ -56,6 +56,16 @@
     BOOST_TEST(!table.should_hand_over(later));
 }
 
+// Pattern: a fitter member is listed and draining, and bids no more.
+BOOST_AUTO_TEST_CASE(a_handover_that_nobody_takes_is_not_repeated_at_once) {
+    table.put("fit", {"a:3", large}, now);
+    now += member_table::settling_time;
+    BOOST_TEST(table.should_hand_over(now));
+    table.note_handover(now);
+    BOOST_TEST(!table.should_hand_over(now + base::milliseconds(1000)));
+    BOOST_TEST(table.should_hand_over(now + member_table::handover_pause));
+}
+
 BOOST_AUTO_TEST_CASE(a_slightly_fitter_member_is_not_worth_a_handover) {
     table.put("fit", {"a:3", 1.5 * small}, now);
     BOOST_TEST(table.outranked(now));
