--- a/include/eelgrasslever/cluster/endpoint_health.hpp
+++ b/include/eelgrasslever/cluster/endpoint_health.hpp
@@ -23,7 +23,7 @@
     static constexpr base::milliseconds longest_rest{16000};
 
     void on_done(const std::string& endpoint);
-    /// @param fleet_fails whether the same task failed elsewhere before, which
+    /// @param failed_elsewhere whether the same task failed before, which
     /// speaks against the task.
     void on_failed(const std::string& endpoint, bool failed_elsewhere,
                    base::instant now);
@@ -41,7 +41,8 @@
         base::milliseconds rest{0};
         base::instant rest_until{};
     };
-    void suspect(record& at, base::instant now);
+    void suspect(const std::string& endpoint, const char* why,
+                 base::instant now);
     std::unordered_map<std::string, record> m_records;
 };
 
--- a/src/cluster/endpoint_health.cpp
+++ b/src/cluster/endpoint_health.cpp
@@ -1,5 +1,7 @@
 #include "eelgrasslever/cluster/endpoint_health.hpp"
 
+#include "eelgrasslever/observe/log.hpp"
+
 #include <algorithm>
 
 namespace eelgrasslever::cluster {
@@ -21,21 +23,28 @@
     record& at = m_records[endpoint];
     at.failures_in_a_row++;
     if (at.failures_in_a_row >= failures_to_suspect) {
-        suspect(at, now);
+        suspect(endpoint, "failures in a row", now);
     }
 }
 
 void endpoint_health::on_stalled(const std::string& endpoint,
                                  base::instant now) {
-    suspect(m_records[endpoint], now);
+    suspect(endpoint, "a run stalled", now);
 }
 
-void endpoint_health::suspect(record& at, base::instant now) {
+void endpoint_health::suspect(const std::string& endpoint, const char* why,
+                              base::instant now) {
+    record& at = m_records[endpoint];
     if (at.rest_until > now) {
         return;
     }
     at.rest = std::clamp(at.rest * 2, first_rest, longest_rest);
     at.rest_until = now + at.rest;
+    observe::log_event("endpoint_suspected",
+                       {{"endpoint", endpoint},
+                        {"why", why},
+                        {"failures", std::to_string(at.failures_in_a_row)},
+                        {"rest_ms", std::to_string(at.rest.count())}});
 }
 
 void endpoint_health::forget(const std::string& endpoint) {
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -156,6 +156,7 @@
     {"advice", {"step", "query", "answered", "admitted", "asked", "took_ms"}},
     {"endpoint_silent", {"endpoint", "why", "runs"}},
     {"endpoint_back", {"endpoint"}},
+    {"endpoint_suspected", {"endpoint", "why", "failures", "rest_ms"}},
     {"endpoint_inventoried", {"endpoint", "running", "ended"}},
     {"run_missing", {"task", "run", "endpoint"}},
     {"runs_lost", {"endpoint", "runs", "why"}},
