--- a/benchmark/scheduler_load.cpp
+++ b/benchmark/scheduler_load.cpp
@@ -1,9 +1,13 @@
 // Measures the scheduler's CPU time at a given load and number of endpoints:
 //     eel-scheduler-load --endpoints 350 --jobs_per_second 150
+// With --mixed_load, three classes offer that share of the capacity, and the
+// report says what each class received:
+//     eel-scheduler-load --mixed_load 1.1 --seconds 34 --vms 34
 // The figure includes the simulated endpoints; `perf record` separates the two.
 #include "eelgrasslever/observe/log.hpp"
 #include "eelgrasslever/observe/metrics.hpp"
 #include "fake_fleet.hpp"
+#include "mixed_load.hpp"
 
 #include <gflags/gflags.h>
 
@@ -18,6 +22,8 @@
 DEFINE_int32(work_ms, 500, "has no effect: tasks run for 500 to 1499 ms");
 DEFINE_int32(seconds, 10, "duration of the load in simulated seconds");
 DEFINE_int32(vms, 43, "number of VMs, each of which can ask for advice");
+DEFINE_double(mixed_load, 0, "offered share of the capacity; 0: simple load");
+DEFINE_int32(seed, 1, "seed of the mixed load");
 DEFINE_bool(advice, true, "whether the queues have an advice policy");
 
 using namespace eelgrasslever;
@@ -35,11 +41,36 @@
     return job;
 }
 
+int run_mixed() {
+    auto options = test::make_three_class_load(FLAGS_endpoints, FLAGS_vms,
+                                               FLAGS_mixed_load);
+    options.seed = static_cast<std::uint64_t>(FLAGS_seed);
+    options.arrivals = std::chrono::seconds(FLAGS_seconds);
+    double cpu_seconds_before = observe::read_process_usage().cpu_seconds;
+    auto report = test::run_mixed_load(options);
+    double cpu_seconds_used =
+        observe::read_process_usage().cpu_seconds - cpu_seconds_before;
+    for (const auto& [name, row] : report.classes) {
+        std::cout << name << ": earned " << row.earned_share() << ", jobs "
+                  << row.jobs << ", in time " << row.in_time << ", late "
+                  << row.late << ", advice calls " << row.advice_calls
+                  << " for " << row.steps_asked << " steps, "
+                  << row.advice_seconds << " s\n";
+    }
+    std::cout << "room used " << report.used_share << ", advice busy "
+              << report.advice_busy_share << ", CPU " << cpu_seconds_used
+              << " s, violations " << report.violations << "\n";
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     observe::set_logging_enabled(false);
+    if (FLAGS_mixed_load > 0) {
+        return run_mixed();
+    }
     test::fake_fleet fleet(1, {});
     base::resources capacity;
     capacity.cpu_milli = 16'000;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -47,6 +47,8 @@
 fake_fleet::fake_fleet(std::uint64_t seed, fleet_faults faults)
     : task_duration([](const task_key&) { return milliseconds(500); }),
       admits([](const task_key&, const std::string&) { return true; }),
+      advice_duration([](const cluster::advice_call&) { return advice_delay; }),
+      fails([](const task_key&) { return false; }),
       m_random(seed), m_faults(faults) {}
 
 bool fake_fleet::chance(double probability) {
@@ -134,6 +136,10 @@
     return m_jobs.at(id).entry.progress;
 }
 
+std::optional<instant> fake_fleet::ended_at(const std::string& id) const {
+    return m_jobs.at(id).ended_at;
+}
+
 const workload::step& fake_fleet::step_spec(const task_key& key) {
     return m_jobs.at(key.job).entry.job->steps.at(
         static_cast<std::size_t>(key.step));
@@ -202,12 +208,12 @@
     std::string name = workload::to_string(order.task) + " run " +
                        std::to_string(order.run) + " on " + endpoint.listing.id;
     for (const auto& [id, other] : m_endpoints) {
-        for (const auto& [key, run] : other.runs) {
-            if (key.task == order.task) {
-                add_violation("two concurrent runs of a task: " + name +
-                              " and run " + std::to_string(key.run) + " on " +
-                              id);
-            }
+        auto first = other.runs.lower_bound({order.task, 0});
+        for (auto it = first;
+             it != other.runs.end() && it->first.task == order.task; ++it) {
+            add_violation("two concurrent runs of a task: " + name +
+                          " and run " + std::to_string(it->first.run) + " on " +
+                          id);
         }
     }
     base::resources used = step_spec(order.task).need;
@@ -272,7 +278,7 @@
     run.work = work;
     run.ends_at = m_now + work;
     run.hangs = endpoint.hangs;
-    run.fails = chance(m_faults.failed_run);
+    run.fails = chance(m_faults.failed_run) || fails(order.task);
     endpoint.runs[key] = run;
     if (step_spec(order.task).gang) {
         start_gang(key);
@@ -424,7 +430,7 @@
 void fake_fleet::ask_advice(const std::string&,
                             const cluster::advice_call& call) {
     std::uint64_t term = m_term;
-    schedule(advice_delay, [this, call, term] {
+    schedule(advice_duration(call), [this, call, term] {
         if (m_term != term || !m_leader) {
             return;
         }
@@ -451,7 +457,11 @@
             return;
         }
         auto decoded = workload::decode_progress(progress, id);
-        m_jobs.at(id).entry.progress = *decoded;
+        stored_job& job = m_jobs.at(id);
+        if (workload::is_terminal(decoded->state) && !job.ended_at) {
+            job.ended_at = m_now;
+        }
+        job.entry.progress = *decoded;
         m_leader->on_recorded(id, version, m_now);
     });
 }
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -87,9 +88,16 @@
         return m_first_start.at(job);
     }
 
+    /// @return when the final state of the job was stored, if it was.
+    [[nodiscard]] std::optional<instant> ended_at(const std::string& id) const;
+
     std::function<milliseconds(const workload::task_key&)> task_duration;
     /// Whether the advice service admits a step to an endpoint.
     std::function<bool(const workload::task_key&, const std::string&)> admits;
+    /// How long the advice service takes for a call.
+    std::function<milliseconds(const cluster::advice_call&)> advice_duration;
+    /// Whether a run fails, in addition to the share in `fleet_faults`.
+    std::function<bool(const workload::task_key&)> fails;
     bool store_up{true};
     /// VMs that can make advice calls, from the next election on.
     std::vector<std::string> channels{"vm-1", "vm-2"};
@@ -116,6 +124,7 @@
   private:
     struct stored_job {
         cluster::job_entry entry;
+        std::optional<instant> ended_at;
         /// Done tasks of each step, as seen by the endpoints.
         std::map<workload::step_key, std::set<int>> done;
         std::map<workload::task_key, std::set<int>> failed;
