Log what the leader's time, the room and the tickets are spent on

The hypotheses could not be told apart from the logs: no line says how long a placement pass takes, how much room waiting gangs reserve, or how many tickets lapse unused.

Once a second the leader logs leader_work (processor time and the time by kind of work), placement_summary (passes, steps examined, oldest step that none has examined, room running and reserved) and queue_summary (calls by reason, tickets issued and used). advice_asked gives the reason of the call.

No change of a decision.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -36,6 +36,7 @@
 struct ticket {
     std::string text;
     base::instant valid_until{};
+    bool used{false}; ///< a task was placed with it
 };
 
 /// What the advice service has replied for a step. Whether an endpoint may run
@@ -54,6 +55,7 @@
     step_advice advice;
     base::instant unlocked_at{};
     base::instant reserved_at{}; ///< when its reservation was last chosen
+    base::instant examined_at{}; ///< by a placement pass, most recently
     bool unlocked{false};        ///< all preceding steps are complete
 
     [[nodiscard]] bool is_complete() const {
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "eelgrasslever/cluster/fit.hpp"
 #include "eelgrasslever/cluster/job_execution.hpp"
 #include "eelgrasslever/cluster/job_view.hpp"
+#include "eelgrasslever/cluster/placement_statistics.hpp"
 
 #include <functional>
 #include <list>
@@ -90,6 +91,8 @@
         base::resources used;
     };
     [[nodiscard]] totals compute_totals(base::instant now) const;
+    /// @return the counts since the previous call and the present state.
+    [[nodiscard]] placement_statistics take_statistics(base::instant now);
     [[nodiscard]] const std::map<std::string, endpoint_state, std::less<>>&
     endpoints() const {
         return m_endpoints;
@@ -271,6 +274,7 @@
     endpoint_health m_health;
     bool m_placement_needed{true};
     base::instant m_last_placement_at{};
+    placement_statistics m_statistics; ///< counts since they were taken last
     bool m_can_order{true};
     std::chrono::sys_time<base::milliseconds> m_wall{}; ///< at the last tick
 };
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -13,6 +13,7 @@
 #include "eelgrasslever/coordination/prefix_watcher.hpp"
 #include "eelgrasslever/daemon/peer_links.hpp"
 #include "eelgrasslever/observe/metrics.hpp"
+#include "eelgrasslever/observe/work_meter.hpp"
 #include "eelgrasslever/service/gateways.hpp"
 #include "eelgrasslever/service/member_table.hpp"
 #include "eelgrasslever/service/request_router.hpp"
@@ -99,6 +100,18 @@
     void on_fenced(const std::string& endpoint) override;
 
   private:
+    /// Work of the leader's thread, as far as it is measured.
+    enum class work_kind {
+        placement, ///< passes of the scheduler
+        renewals,  ///< replies of endpoints to renewals
+        orders,    ///< replies to starts and stops
+        advice,    ///< replies to advice calls
+        records,   ///< outcomes of writes to the store
+        view,      ///< changes of the store
+        count,
+    };
+    using work_timer = observe::work_meter<work_kind>;
+
     /// Handles a change of any key under `cluster::keys::root`.
     void on_cluster_key_change(const coordination::key_value& change);
     void on_registry_change(const coordination::key_value& change);
@@ -131,6 +144,9 @@
     [[nodiscard]] bool has_order_authority() const;
     void tick();
     void schedule_tick();
+    /// Logs what the leader did since the previous call: where its time went,
+    /// and how its placement passes used the room and the tickets.
+    void log_leader_summary();
     /// Removes the records of jobs that finished long ago.
     void remove_expired_jobs();
     void send_to_peer(const std::string& address, wire::message content);
@@ -141,8 +157,10 @@
     /// Calls @p action with the scheduler if it is still the one of leadership
     /// @p generation.
     template <typename Action>
-    void with_scheduler(std::uint64_t generation, Action action) {
+    void with_scheduler(std::uint64_t generation, work_kind kind,
+                        Action action) {
         if (m_leadership_generation == generation && m_scheduler) {
+            work_timer::scope measured(m_work, kind);
             action(*m_scheduler, base::monotonic_now());
             schedule_tick();
         }
@@ -176,6 +194,8 @@
     kernel::timer m_maintenance_timer;
     kernel::timer m_completion_timer;
     base::instant m_last_tick_at{};
+    work_timer m_work;
+    double m_cpu_seconds_logged{0.0}; ///< of the process, at the last summary
     bool m_tick_scheduled{false};
     bool m_is_draining{false};
 
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasslever/observe/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrasslever::cluster {
 
@@ -114,4 +115,32 @@
     return result;
 }
 
+placement_statistics scheduler::take_statistics(base::instant now) {
+    placement_statistics result = std::exchange(m_statistics, {});
+    result.steps_ready = m_ready.size();
+    for (const step_rank& rank : m_ready) {
+        auto found = m_jobs.find(rank.job);
+        const step_execution* step = found == m_jobs.end()
+                                         ? nullptr
+                                         : found->second.execution->find_step(
+                                               rank.occurrence, rank.step);
+        if (step != nullptr) {
+            result.oldest_unexamined =
+                std::max(result.oldest_unexamined,
+                         now - std::max(step->examined_at, step->unlocked_at));
+        }
+    }
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (!is_usable(endpoint, now)) {
+            continue;
+        }
+        result.cpu_capacity += endpoint.listing.capacity.cpu_milli;
+        result.cpu_running += endpoint.used.cpu_milli;
+        if (is_reserved(endpoint)) {
+            result.cpu_reserved += endpoint.free_resources().cpu_milli;
+        }
+    }
+    return result;
+}
+
 } // namespace eelgrasslever::cluster
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -22,6 +22,24 @@
 constexpr double gang_surplus = 1.25;
 constexpr double task_surplus = 2.0;
 
+advice_reason classify_call(const step_advice& advice, base::instant now) {
+    if (advice.admitted.empty()) {
+        return advice.rejected.empty() ? advice_reason::first
+                                       : advice_reason::more_endpoints;
+    }
+    bool has_valid_ticket = std::any_of(
+        advice.admitted.begin(), advice.admitted.end(),
+        [&](const auto& row) { return row.second.valid_until > now; });
+    return has_valid_ticket ? advice_reason::more_endpoints
+                            : advice_reason::tickets_expired;
+}
+
+const char* to_string(advice_reason reason) {
+    static constexpr const char* names[] = {"first", "tickets_expired",
+                                            "more_endpoints"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
 } // namespace
 
 std::vector<std::string> scheduler::select_advice_candidates(
@@ -117,11 +135,15 @@
     call.query = m_advice_calls.begin_call(
         *channel, call.step, asked, call.timeout + advice_timeout_slack, now);
     step.advice.call_in_flight = true;
+    advice_reason reason = classify_call(step.advice, now);
+    m_statistics.queues[queue.name]
+        .advice_calls[static_cast<std::size_t>(reason)]++;
     observe::log_event("advice_asked",
                        {{"step", workload::to_string(call.step)},
                         {"query", std::to_string(call.query)},
                         {"channel", *channel},
                         {"candidates", std::to_string(asked.size())},
+                        {"reason", to_string(reason)},
                         {"missing", std::to_string(missing)}});
     m_effects.ask_advice(*channel, call);
 }
@@ -158,12 +180,13 @@
         return;
     }
     auto until = now + queue.advice->ticket_lifetime - ticket_margin;
+    m_statistics.queues[queue.name].tickets_issued += reply.admitted.size();
     std::size_t newly_rejected = 0;
     std::size_t newly_admitted = 0;
     std::set<std::string> admitted;
     for (const auto& [id, text] : reply.admitted) {
         newly_admitted += step->advice.admitted.contains(id) ? 0 : 1;
-        step->advice.admitted[id] = {text, until};
+        step->advice.admitted[id] = {text, until, false};
         admitted.insert(id);
     }
     for (const std::string& id : call->candidates) {
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -36,7 +36,9 @@
             m_usable.push_back(&endpoint);
         }
     }
+    m_statistics.passes++;
     for (const step_rank& rank : select_steps()) {
+        m_statistics.steps_examined++;
         if (place_step(rank, now)) {
             m_ready.erase(rank);
             release_reservation(rank);
@@ -81,6 +83,7 @@
         step->waiting_count == 0) {
         return true;
     }
+    step->examined_at = now;
     // Most waiting steps can do nothing but wait for advice; skipping them here
     // is cheap.
     bool can_ask = !step->advice.call_in_flight &&
@@ -282,8 +285,10 @@
                            endpoint_state& endpoint, base::instant now) {
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(key.step)];
-    const step_execution* step =
-        job.execution->find_step(key.occurrence, key.step);
+    step_execution* step = job.execution->find_step(key.occurrence, key.step);
+    queue_statistics& counts =
+        m_statistics.queues[job.execution->job().queue.name];
+    counts.tasks_placed++;
     allocation allocated;
     allocated.number = run;
     allocated.need = spec.need;
@@ -295,6 +300,8 @@
     if (ticket != step->advice.admitted.end()) {
         allocated.ticket = ticket->second.text;
         allocated.ticket_valid_until = ticket->second.valid_until;
+        counts.tickets_used += ticket->second.used ? 0 : 1;
+        ticket->second.used = true;
     }
     endpoint.used += spec.need;
     endpoint.runs[{key, run}] = allocated;
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -95,6 +95,7 @@
                           [this] {
                               remove_expired_jobs();
                               evaluate_handover();
+                              log_leader_summary();
                           }),
       m_completion_timer(owner, [this] { send_completion_notice(); }) {
     using coordination::key_value;
@@ -193,6 +194,7 @@
         on_member_change(change);
         return;
     }
+    work_timer::scope measured(m_work, work_kind::view);
     auto now = base::monotonic_now();
     auto applied = m_job_view.apply(change, now);
     if (!m_scheduler) {
@@ -357,6 +359,7 @@
     if (!m_scheduler) {
         return;
     }
+    work_timer::scope measured(m_work, work_kind::placement);
     m_last_tick_at = base::monotonic_now();
     remove_lapsed_endpoints(m_last_tick_at);
     m_scheduler->tick(
@@ -367,6 +370,62 @@
     }
 }
 
+void cluster_service::log_leader_summary() {
+    auto work = m_work.take();
+    double cpu_seconds = observe::read_process_usage().cpu_seconds;
+    double cpu_used =
+        cpu_seconds - std::exchange(m_cpu_seconds_logged, cpu_seconds);
+    if (!m_scheduler) {
+        return;
+    }
+    static constexpr const char* work_names[] = {
+        "placement", "renewals", "orders", "advice", "records", "view"};
+    observe::log_fields fields{
+        {"cpu_ms", std::to_string(static_cast<int>(cpu_used * 1000.0))}};
+    for (std::size_t i = 0; i < work.size(); ++i) {
+        fields.emplace_back(std::string(work_names[i]) + "_ms",
+                            std::to_string(work[i].total.count() / 1000));
+    }
+    const auto& passes = work[static_cast<std::size_t>(work_kind::placement)];
+    fields.emplace_back("longest_pass_us",
+                        std::to_string(passes.longest.count()));
+    observe::log_event("leader_work", fields);
+
+    auto placement = m_scheduler->take_statistics(base::monotonic_now());
+    m_metrics.add("placement_passes", static_cast<double>(placement.passes));
+    m_metrics.add("placement_steps_examined",
+                  static_cast<double>(placement.steps_examined));
+    m_metrics.set("steps_ready", static_cast<double>(placement.steps_ready));
+    m_metrics.set("cpu_milli_reserved",
+                  static_cast<double>(placement.cpu_reserved));
+    observe::log_event(
+        "placement_summary",
+        {{"passes", std::to_string(placement.passes)},
+         {"steps_examined", std::to_string(placement.steps_examined)},
+         {"steps_ready", std::to_string(placement.steps_ready)},
+         {"oldest_unexamined_ms",
+          std::to_string(placement.oldest_unexamined.count())},
+         {"cpu_capacity", std::to_string(placement.cpu_capacity)},
+         {"cpu_running", std::to_string(placement.cpu_running)},
+         {"cpu_reserved", std::to_string(placement.cpu_reserved)}});
+    for (const auto& [queue, counts] : placement.queues) {
+        std::string label = "{queue=\"" + queue + "\"}";
+        m_metrics.add("tickets_issued" + label,
+                      static_cast<double>(counts.tickets_issued));
+        m_metrics.add("tickets_used" + label,
+                      static_cast<double>(counts.tickets_used));
+        observe::log_event(
+            "queue_summary",
+            {{"queue", queue},
+             {"tasks_placed", std::to_string(counts.tasks_placed)},
+             {"calls_first", std::to_string(counts.advice_calls[0])},
+             {"calls_tickets_expired", std::to_string(counts.advice_calls[1])},
+             {"calls_more_endpoints", std::to_string(counts.advice_calls[2])},
+             {"tickets_issued", std::to_string(counts.tickets_issued)},
+             {"tickets_used", std::to_string(counts.tickets_used)}});
+    }
+}
+
 void cluster_service::refresh_gauges() {
     m_metrics.set("jobs_known", static_cast<double>(m_job_view.all().size()));
     m_metrics.set("leading", m_scheduler ? 1.0 : 0.0);
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -37,10 +37,13 @@
         m_owner.defer([this, id = endpoint.id, order,
                        generation = m_leadership_generation, alive = m_alive] {
             if (*alive) {
-                with_scheduler(generation, [&](auto& scheduler, auto now) {
-                    scheduler.on_started(
-                        id, order, {cluster::order_status::not_sent, {}}, now);
-                });
+                with_scheduler(generation, work_kind::orders,
+                               [&](auto& scheduler, auto now) {
+                                   scheduler.on_started(
+                                       id, order,
+                                       {cluster::order_status::not_sent, {}},
+                                       now);
+                               });
             }
         });
         return;
@@ -51,9 +54,10 @@
         [this, id = endpoint.id, order, generation = m_leadership_generation,
          sent_at = base::monotonic_now()](const cluster::order_reply& reply) {
             record_order_latency("start", sent_at, reply.status);
-            with_scheduler(generation, [&](auto& scheduler, auto now) {
-                scheduler.on_started(id, order, reply, now);
-            });
+            with_scheduler(generation, work_kind::orders,
+                           [&](auto& scheduler, auto now) {
+                               scheduler.on_started(id, order, reply, now);
+                           });
         });
 }
 
@@ -66,9 +70,10 @@
         [this, id = endpoint.id, order, generation = m_leadership_generation,
          sent_at = base::monotonic_now()](const cluster::order_reply& reply) {
             record_order_latency("stop", sent_at, reply.status);
-            with_scheduler(generation, [&](auto& scheduler, auto now) {
-                scheduler.on_stopped(id, order, reply, now);
-            });
+            with_scheduler(generation, work_kind::orders,
+                           [&](auto& scheduler, auto now) {
+                               scheduler.on_stopped(id, order, reply, now);
+                           });
         });
 }
 
@@ -89,9 +94,10 @@
         endpoint, token, order, fresh_connection,
         [this, id = endpoint.id, generation = m_leadership_generation](
             const cluster::renew_reply& reply) {
-            with_scheduler(generation, [&](auto& scheduler, auto now) {
-                scheduler.on_renewed(id, reply, now);
-            });
+            with_scheduler(generation, work_kind::renewals,
+                           [&](auto& scheduler, auto now) {
+                               scheduler.on_renewed(id, reply, now);
+                           });
         });
 }
 
@@ -102,9 +108,10 @@
         m_advice.ask(call, [this, query = call.query,
                             generation = m_leadership_generation](
                                const cluster::advice_reply& reply) {
-            with_scheduler(generation, [&](auto& scheduler, auto now) {
-                scheduler.on_advice(query, reply, now);
-            });
+            with_scheduler(generation, work_kind::advice,
+                           [&](auto& scheduler, auto now) {
+                               scheduler.on_advice(query, reply, now);
+                           });
         });
         return;
     }
@@ -159,6 +166,7 @@
                                   const std::string& progress,
                                   const coordination::proposal& attempt,
                                   const coordination::commit_outcome& outcome) {
+    work_timer::scope measured(m_work, work_kind::records);
     auto now = base::monotonic_now();
     if (outcome.status == status::ok) {
         m_progress_revisions[job] = outcome.revision;
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -156,9 +156,11 @@
         reply.admitted.emplace_back(response->endpoints[i],
                                     response->tickets[i]);
     }
-    with_scheduler(response->query >> 32, [&](auto& scheduler, auto now) {
-        scheduler.on_advice(response->query & query_mask, reply, now);
-    });
+    with_scheduler(response->query >> 32, work_kind::advice,
+                   [&](auto& scheduler, auto now) {
+                       scheduler.on_advice(response->query & query_mask, reply,
+                                           now);
+                   });
 }
 
 void cluster_service::handle_advice_request(
--- a/tests/support/mixed_load.cpp
+++ b/tests/support/mixed_load.cpp
@@ -62,10 +62,9 @@
 
 milliseconds advice_duration(const workload::advice_policy& policy,
                              std::size_t candidates) {
-    return policy.fixed_call_time +
-           std::chrono::duration_cast<milliseconds>(
-               policy.call_time_per_candidate *
-               static_cast<std::int64_t>(candidates));
+    return policy.fixed_call_time + std::chrono::duration_cast<milliseconds>(
+                                        policy.call_time_per_candidate *
+                                        static_cast<std::int64_t>(candidates));
 }
 
 submitted_job describe(const job_class& kind, const workload::job& job,
@@ -83,12 +82,11 @@
             static_cast<double>(step.need.cpu_milli) / 1000.0 *
             static_cast<double>(step.estimated_duration.count()) / 1000.0;
     }
-    result.objective =
-        kind.target_latency +
-        milliseconds(static_cast<std::int64_t>(
-            kind.stretch * static_cast<double>(chain.count())));
-    result.worth = std::min(
-        4.0, 0.3 + 0.7 * result.work_core_seconds / mean_work(kind));
+    result.objective = kind.target_latency +
+                       milliseconds(static_cast<std::int64_t>(
+                           kind.stretch * static_cast<double>(chain.count())));
+    result.worth =
+        std::min(4.0, 0.3 + 0.7 * result.work_core_seconds / mean_work(kind));
     return result;
 }
 
@@ -232,8 +230,8 @@
             due[c] += kind.jobs_per_second *
                       static_cast<double>(slice.count()) / 1000.0;
             for (; due[c] >= 1.0; due[c] -= 1.0) {
-                std::string id = kind.name.substr(0, 1) +
-                                 std::to_string(submitted.size());
+                std::string id =
+                    kind.name.substr(0, 1) + std::to_string(submitted.size());
                 workload::job job = draw_job(kind, id, random);
                 submitted[id] = describe(kind, job, fleet.now());
                 class_report& row = report.classes[kind.name];
@@ -247,9 +245,9 @@
         fleet.run_for(slice);
         if (fleet.now() < end_of_arrivals) {
             auto totals = fleet.leader().compute_totals(fleet.now());
-            report.used_share += static_cast<double>(totals.used.cpu_milli) /
-                                 static_cast<double>(totals.capacity.cpu_milli +
-                                                     1);
+            report.used_share +=
+                static_cast<double>(totals.used.cpu_milli) /
+                static_cast<double>(totals.capacity.cpu_milli + 1);
             samples++;
         }
     }
--- a/tests/support/mixed_load.hpp
+++ b/tests/support/mixed_load.hpp
@@ -26,10 +26,10 @@
     int priority{0};
     double jobs_per_second{1.0};
     quantity steps;
-    quantity width;      ///< tasks of a step
-    quantity cpu_milli;  ///< of a task
-    quantity memory_mb;  ///< of a task
-    quantity work_ms;    ///< of a task
+    quantity width;     ///< tasks of a step
+    quantity cpu_milli; ///< of a task
+    quantity memory_mb; ///< of a task
+    quantity work_ms;   ///< of a task
     double gang_share{0.0};
     double failed_share{0.0}; ///< of the runs
     int max_attempts{4};
