--- /dev/null
+++ b/tests/cluster/overload_test.cpp
@@ -0,0 +1,69 @@
+// Loads of unlike classes that compete for room and for advice.
+#include "eelgrasslever/observe/log.hpp"
+#include "mixed_load.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasslever;
+
+namespace {
+
+constexpr int endpoints = 100;
+constexpr int vms = 10;
+
+test::mixed_load_report run(double load, std::uint64_t seed) {
+    observe::set_logging_enabled(false);
+    auto options = test::make_three_class_load(endpoints, vms, load);
+    options.seed = seed;
+    options.arrivals = std::chrono::seconds(30);
+    auto report = test::run_mixed_load(options);
+    observe::set_logging_enabled(true);
+    return report;
+}
+
+void expect_earned(const test::mixed_load_report& report, double floor,
+                   std::uint64_t seed) {
+    BOOST_TEST(report.violations == 0u);
+    for (const auto& [name, row] : report.classes) {
+        BOOST_TEST(row.earned_share() >= floor,
+                   name << " earned " << row.earned_share() << " of its worth, "
+                        << floor << " is due; seed " << seed);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(overload)
+
+// Room was reserved for gangs and tickets lapsed unused, so that gangs missed
+// their objective although the room sufficed for all work.
+BOOST_AUTO_TEST_CASE(every_class_is_served_while_the_room_suffices) {
+    constexpr double target_worth = 0.55;
+    for (std::uint64_t seed : {1, 2, 3}) {
+        expect_earned(run(0.9, seed), target_worth, seed);
+    }
+}
+
+// Work past its objective and gangs without room kept ahead of work that could
+// still be in time; the class of the lowest rank got next to nothing.
+BOOST_AUTO_TEST_CASE(no_class_falls_below_its_floor_under_overload) {
+    constexpr double highest_class_floor = 0.35;
+    for (std::uint64_t seed : {1, 2, 3}) {
+        expect_earned(run(1.5, seed), highest_class_floor, seed);
+    }
+}
+
+// Steps asked again and again about room that others took before the reply.
+// Two calls suffice: one to learn which endpoints admit the step, and one for
+// new tickets once they have room.
+BOOST_AUTO_TEST_CASE(a_step_is_asked_about_twice_at_most_on_average) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+        for (const auto& [name, row] : run(1.2, seed).classes) {
+            BOOST_TEST(row.advice_calls <= 2 * row.steps_asked,
+                       name << ": " << row.advice_calls << " calls for "
+                            << row.steps_asked << " steps; seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
