Serve the latest of the overdue urgent steps first

Cause: overdue urgent steps went by age. The oldest were far overdue when their turn came, and by then those behind them were as well.

Change: the step that is overdue the longest keeps a place; of the others the latest come first.

Test: step_queue_suite/of_overdue_urgent_steps_the_latest_come_first; it fails on the parent, which selects them by age.

--- a/src/cluster/step_queue.cpp
+++ b/src/cluster/step_queue.cpp
@@ -117,15 +117,21 @@
         m_newly_overdue.push_back(std::move(rank));
     }
     std::vector<step_rank> result;
-    auto take = [&](const ranks& steps, std::size_t limit) {
-        for (auto it = steps.begin(); it != steps.end() && limit > 0;
-             ++it, --limit) {
-            result.push_back(*it);
+    auto take = [&](auto from, auto to, std::size_t limit) {
+        for (; from != to && limit > 0; ++from, --limit) {
+            result.push_back(*from);
         }
         return limit;
     };
-    std::size_t remaining = take(m_urgent.in_time, max_urgent_steps);
-    take(m_urgent.overdue, std::max(remaining, max_urgent_steps / 4));
+    const ranks& overdue = m_urgent.overdue;
+    std::size_t remaining = take(m_urgent.in_time.begin(),
+                                 m_urgent.in_time.end(), max_urgent_steps);
+    // The step that is overdue the longest has its place; of the others, the
+    // latest ones can still end soon after their objective.
+    take(overdue.begin(), overdue.end(), 1);
+    take(overdue.rbegin(), overdue.rend(),
+         std::min(std::max(remaining, max_urgent_steps / 4),
+                  overdue.size() - std::min<std::size_t>(overdue.size(), 1)));
 
     double used = 0.0;
     auto take_until = [&](merged_ranges steps, double limit,
--- a/tests/cluster/step_queue_test.cpp
+++ b/tests/cluster/step_queue_test.cpp
@@ -58,6 +58,18 @@
                "urgent urgent-overdue batch ");
 }
 
+// After a burst, the oldest urgent steps came first and were long useless when
+// they ended, while those behind them became as late.
+BOOST_AUTO_TEST_CASE(of_overdue_urgent_steps_the_latest_come_first) {
+    step_queue queue;
+    queue.insert(rank("oldest", -9 * second, 0), false);
+    queue.insert(rank("older", -5 * second, 0), false);
+    queue.insert(rank("latest", -1 * second, 0), false);
+    queue.insert(rank("in-time", second, 0), false);
+    BOOST_TEST(names(queue.select(now, 0.0, eighth)) ==
+               "in-time oldest latest older ");
+}
+
 // A step whose last task failed would wait behind all others if it counted as
 // overdue.
 BOOST_AUTO_TEST_CASE(a_step_that_has_begun_does_not_become_overdue) {
