Don't put steps off while no endpoint is known

A new leader knows no endpoint for a moment. Each waiting step then counted as one that fits nowhere: it was deferred, logged, and taken back with each endpoint that answered. Found while reading the diff; the log lines of a start with 20 jobs show 40 deferrals. A pass without usable endpoints now ends at once.

Also: the choice among overdue urgent steps reads more plainly, unchanged.

Test: scheduler/waiting_steps_are_not_deferred_without_endpoints, seen to fail before (40 deferrals).

--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -96,6 +96,9 @@
 void scheduler::place_ready_steps(base::instant now) {
     begin_pass(now);
     m_statistics.passes++;
+    if (m_usable.empty()) {
+        return;
+    }
     // A blocked step gives its place to others in the same pass.
     std::size_t examined = 0;
     bool any_blocked = true;
--- a/src/cluster/step_queue.cpp
+++ b/src/cluster/step_queue.cpp
@@ -1,6 +1,7 @@
 #include "eelgrasslever/cluster/step_queue.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace eelgrasslever::cluster {
 
@@ -129,9 +130,10 @@
     // The step that is overdue the longest has its place; of the others, the
     // latest ones can still end soon after their objective.
     take(overdue.begin(), overdue.end(), 1);
-    take(overdue.rbegin(), overdue.rend(),
-         std::min(std::max(remaining, max_urgent_steps / 4),
-                  overdue.size() - std::min<std::size_t>(overdue.size(), 1)));
+    auto before_oldest =
+        overdue.empty() ? overdue.rend() : std::prev(overdue.rend());
+    take(overdue.rbegin(), before_oldest,
+         std::max(remaining, max_urgent_steps / 4));
 
     double used = 0.0;
     auto take_until = [&](merged_ranges steps, double limit,
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "eelgrasslever/observe/log.hpp"
 #include "fake_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -257,4 +258,25 @@
     expect_no_violations(fleet);
 }
 
+// A new leader does not know its endpoints yet. If it took the waiting steps
+// for ones that fit nowhere, it would put all of them off.
+BOOST_AUTO_TEST_CASE(waiting_steps_are_not_deferred_without_endpoints) {
+    std::size_t deferred = 0;
+    observe::set_log_listener(
+        [&](const std::string& event, const observe::log_fields&) {
+            deferred += event == "step_deferred" ? 1 : 0;
+        });
+    fake_fleet fleet(14, {});
+    fleet.elect_leader();
+    for (int i = 0; i < 20; ++i) {
+        fleet.submit(make_job("a" + std::to_string(i), 2, 1000));
+    }
+    fleet.run_for(second);
+    fleet.add_endpoint("e1", cores(64));
+    BOOST_TEST(fleet.run_until_jobs_end(2 * second));
+    observe::set_log_listener({});
+    BOOST_TEST(deferred == 0u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
