Give up endpoints that do not return to the registry after an outage of the store

Cause: 14 endpoints were replaced while the store was away. The leader elected at 29.6 knew them from recorded placements alone, without registry entry and address, and waited 12.2 s (a former leader's patience and one lease) before it started their tasks elsewhere. Evidence: task_placed at 41.85, 12.2 s after leading; no runs_lost before. Change: by the platform's protocol, entries that lapsed during an outage are back within 2 s of its end if their endpoint lives; what is still missing after 3 s is given up. Only for a term that begins within 3 s of an outage, and for endpoints that this leader has never seen listed; the time starts anew if the store is lost. Test: endpoints_lost_during_an_outage_of_the_store_are_given_up, 8 of 12 starts without the change. The simulated fleet no longer lists removed endpoints to a new leader.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -39,12 +39,21 @@
     double urgent_headroom{0.15};
 };
 
+/// How long after an outage of the store entries of live endpoints may still be
+/// missing from the registry: 2 s by the platform's protocol, and one more
+/// until the leader has read them.
+inline constexpr base::milliseconds registry_settling_time{3000};
+
 /// The leadership term in which a scheduler gives orders.
 struct scheduler_term {
     fencing_token token{0};
     int run_base{0}; ///< runs of this term get higher numbers
     base::instant since{};
     std::chrono::sys_time<base::milliseconds> wall{}; ///< at `since`
+    /// Set if the term began after an outage of the store: by then, endpoints
+    /// whose entries lapsed during the outage have registered again if they are
+    /// alive.
+    std::optional<base::instant> registry_settled_at;
 };
 
 class scheduler {
@@ -181,6 +190,9 @@
     void acknowledge_recorded_completions(endpoint_state& endpoint,
                                           base::instant now);
     void check_lease(endpoint_state& endpoint, base::instant now);
+    /// @return whether the endpoint was lost during an outage of the store.
+    [[nodiscard]] bool is_missing_after_outage(const endpoint_state& endpoint,
+                                               base::instant now) const;
     void renew_if_due(endpoint_state& endpoint, base::instant now);
     void stop_run(endpoint_state& endpoint, const run_key& key,
                   base::instant now);
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -32,6 +32,9 @@
                            {{"token", std::to_string(m_term.token)}});
     }
     m_can_order = allowed.order;
+    if (m_term.registry_settled_at && !allowed.place) {
+        m_term.registry_settled_at = now + registry_settling_time;
+    }
     m_wall = wall;
     send_due_records(now);
     abandon_unrecorded_starts(now);
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -398,10 +398,19 @@
     }
 }
 
+// Such an endpoint is known from recorded placements alone; without a registry
+// entry there is no address to ask it at.
+bool scheduler::is_missing_after_outage(const endpoint_state& endpoint,
+                                        base::instant now) const {
+    return m_term.registry_settled_at && *m_term.registry_settled_at < now &&
+           endpoint.listing.address.empty();
+}
+
 void scheduler::check_lease(endpoint_state& endpoint, base::instant now) {
     if (endpoint.terminated) {
         return;
     }
+    bool missing = is_missing_after_outage(endpoint, now);
     bool lease_expired = false;
     if (!endpoint.inventoried) {
         // A previous leader that lost the store sends orders for at most
@@ -421,12 +430,15 @@
         endpoint.failed_renewals > 0 && !endpoint.listed &&
         endpoint.listing.draining &&
         endpoint.unlisted_at - endpoint.last_reply_at < max_departure_silence;
-    if (!lease_expired && !has_left) {
+    if (!lease_expired && !has_left && !missing) {
         return;
     }
     if (!endpoint.runs.empty()) {
         drop_all_runs(endpoint,
-                      has_left ? "endpoint has left" : "lease expired", now);
+                      has_left  ? "endpoint has left"
+                      : missing ? "not registered again after an outage"
+                                : "lease expired",
+                      now);
     }
     endpoint.inventoried = false;
     if (!endpoint.listed) {
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -17,6 +17,9 @@
 /// Longest interval between two scheduler passes. It bounds how late a timeout
 /// is detected.
 constexpr base::milliseconds max_tick_interval{50};
+/// An outage of the store that ended less than this before an election may have
+/// removed entries of live endpoints from the registry.
+constexpr base::milliseconds recent_outage{3000};
 constexpr base::milliseconds maintenance_interval{1000};
 /// A VM with an older view of the store is not ready, so that clients are sent
 /// to other VMs. The limit exceeds the duration of a watch (1 s) by more than a
@@ -300,6 +303,9 @@
     term.run_base = static_cast<int>(m_leadership->term - 1) * runs_per_term;
     term.since = now;
     term.wall = base::wall_now();
+    if (now - m_store.recovered_at() < recent_outage) {
+        term.registry_settled_at = now + cluster::registry_settling_time;
+    }
     m_progress_revisions.clear();
     m_scheduler =
         std::make_unique<cluster::scheduler>(*this, m_options.limits, term);
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -169,6 +169,28 @@
     expect_no_violations(fleet);
 }
 
+// Endpoints were replaced while the store was away. The new leader waited 12 s
+// for the leases of endpoints that had left, and tasks that last stood idle.
+BOOST_AUTO_TEST_CASE(
+    endpoints_lost_during_an_outage_of_the_store_are_given_up) {
+    fake_fleet fleet(14, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.add_endpoint("e2", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 8, 1000));
+    fleet.run_for(second);
+    fleet.remove_endpoint("e1");
+    fleet.add_endpoint("e3", cores(4));
+    fleet.store_has_recovered = true;
+    fleet.elect_leader(second);
+    fleet.run_for(2 * second);
+    BOOST_TEST(fleet.starts() == 8u);
+    fleet.run_for(2 * second);
+    BOOST_TEST(fleet.starts() == 12u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_a_hanging_endpoint_are_restarted_elsewhere) {
     fake_fleet fleet(9, {});
     fleet.add_endpoint("e1", cores(4)).hangs = true;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -89,6 +89,7 @@
 void fake_fleet::remove_endpoint(const std::string& id) {
     fake_endpoint& endpoint = m_endpoints.at(id);
     endpoint.reachable = false;
+    endpoint.registered = false;
     endpoint.runs.clear();
     endpoint.completions.clear();
     if (m_leader) {
@@ -104,12 +105,17 @@
     term.token = m_term;
     term.run_base = static_cast<int>(m_term - 1) * runs_per_term;
     term.since = m_now;
+    if (store_has_recovered) {
+        term.registry_settled_at = m_now + cluster::registry_settling_time;
+    }
     cluster::scheduler_limits limits;
     limits.max_lease = max_lease;
     m_leader = std::make_unique<cluster::scheduler>(*this, limits, term);
     m_leader->set_channels(channels, m_now);
     for (const auto& [id, endpoint] : m_endpoints) {
-        m_leader->on_listed(endpoint.listing, m_now);
+        if (endpoint.registered) {
+            m_leader->on_listed(endpoint.listing, m_now);
+        }
     }
     for (const auto& [id, job] : m_jobs) {
         m_leader->on_job_accepted(job.entry, m_now);
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -43,6 +43,7 @@
     };
     cluster::endpoint_listing listing;
     bool reachable{true};
+    bool registered{true};
     bool hangs{false};
     cluster::fencing_token token{0};
     std::map<cluster::run_key, run> runs;
@@ -99,6 +100,8 @@
     /// Whether a run fails, in addition to the share in `fleet_faults`.
     std::function<bool(const workload::task_key&)> fails;
     bool store_up{true};
+    /// Whether the next leaders are elected after an outage of the store.
+    bool store_has_recovered{false};
     /// VMs that can make advice calls, from the next election on.
     std::vector<std::string> channels{"vm-1", "vm-2"};
     int max_violations{10};
