--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -398,12 +398,12 @@
     }
 }
 
-// Such an endpoint is known from recorded placements alone; without a registry
-// entry there is no address to ask it at.
+// Only endpoints that have not answered this leader; one that has is given up
+// when its lease expires.
 bool scheduler::is_missing_after_outage(const endpoint_state& endpoint,
                                         base::instant now) const {
     return m_term.registry_settled_at && *m_term.registry_settled_at < now &&
-           endpoint.listing.address.empty();
+           !endpoint.listed && !endpoint.inventoried;
 }
 
 void scheduler::check_lease(endpoint_state& endpoint, base::instant now) {
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -191,6 +191,28 @@
     expect_no_violations(fleet);
 }
 
+// A leader that had read the entry before the outage listed the endpoint for
+// some time, and then waited as long as if it had never heard of the outage.
+BOOST_AUTO_TEST_CASE(endpoints_unlisted_after_an_outage_are_given_up) {
+    fake_fleet fleet(15, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.add_endpoint("e2", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 8, 1000));
+    fleet.run_for(second);
+    fleet.endpoint("e1").reachable = false;
+    fleet.add_endpoint("e3", cores(4));
+    fleet.store_has_recovered = true;
+    fleet.elect_leader(second);
+    fleet.run_for(2 * second);
+    fleet.remove_endpoint("e1");
+    BOOST_TEST(fleet.starts() == 8u);
+    fleet.run_for(2 * second);
+    BOOST_TEST(fleet.starts() == 12u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_a_hanging_endpoint_are_restarted_elsewhere) {
     fake_fleet fleet(9, {});
     fleet.add_endpoint("e1", cores(4)).hangs = true;
