Let gangs gather room shortly before they can use it

Cause: room stood idle. (1) A gang held its room during the call for its tickets and until the last of it came free, 1.3 s on average; up to a quarter of the fleet was held. (2) 15% of each endpoint was kept for urgent work, 2.4 of 16 cores, where three of the gang's tasks need 13.5 and an urgent one 3.9. (3) Work was selected only as far as room was expected within a second, also by gangs that could not start by then. Change: the leader predicts the end of each run from its progress. A gang claims the slots that come free first, and only if they will be complete when its tickets are valid, within a time that grows with its width; it asks for tickets that much earlier. Headroom is whole endpoints, spread evenly, and a part of one on small fleets. The window reaches 2 s.

--- a/benchmark/scheduler_load.cpp
+++ b/benchmark/scheduler_load.cpp
@@ -23,6 +23,8 @@
 DEFINE_int32(seconds, 10, "duration of the load in simulated seconds");
 DEFINE_int32(vms, 43, "number of VMs, each of which can ask for advice");
 DEFINE_double(mixed_load, 0, "offered share of the capacity; 0: simple load");
+DEFINE_bool(small_endpoints, false,
+            "whether the mixed load is the one for endpoints of 16 cores");
 DEFINE_int32(seed, 1, "seed of the mixed load");
 DEFINE_bool(log, false, "whether to log the scheduler's decisions");
 DEFINE_bool(advice, true, "whether the queues have an advice policy");
@@ -43,8 +45,9 @@
 }
 
 int run_mixed() {
-    auto options = test::make_three_class_load(FLAGS_endpoints, FLAGS_vms,
-                                               FLAGS_mixed_load);
+    auto make_load = FLAGS_small_endpoints ? test::make_gang_heavy_load
+                                           : test::make_three_class_load;
+    auto options = make_load(FLAGS_endpoints, FLAGS_vms, FLAGS_mixed_load);
     options.seed = static_cast<std::uint64_t>(FLAGS_seed);
     options.arrivals = std::chrono::seconds(FLAGS_seconds);
     double cpu_seconds_before = observe::read_process_usage().cpu_seconds;
--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace eelgrasslever::cluster {
 
@@ -45,6 +46,14 @@
     base::instant ticket_valid_until{};
     int percent{0};
     base::instant percent_changed_at{};
+    /// Progress from which the run's speed is measured.
+    int initial_percent{0};
+    base::instant progress_since{};
+    /// By the estimate of the step, and by the speed once that is known.
+    base::instant expected_end{};
+
+    /// Takes in the progress that the endpoint reports.
+    void update_progress(int reported_percent, base::instant now);
 };
 
 /// A completion that was applied but may not be stored yet. The endpoint keeps
@@ -62,10 +71,22 @@
     auto operator<=>(const run_key&) const = default;
 };
 
+/// Resources that become free once a run ends.
+struct expected_release {
+    base::instant at{};
+    base::resources amount;
+};
+
 struct endpoint_state {
     endpoint_listing listing;
     /// Identifies the endpoint within one leadership; never used again.
     std::uint32_t number{0};
+    /// In [0, 1), evenly spread over the endpoints.
+    double reserve_order{0.0};
+    /// Place among the usable endpoints by `reserve_order`; the first ones are
+    /// kept for urgent work. Only the places that can matter are told apart.
+    std::size_t reserve_rank{0};
+    std::uint64_t usable_in{0}; ///< latest placement pass that may use it
     base::instant unlisted_at{};
     bool listed{false}; ///< the registry contains the endpoint
     /// The endpoint has reported its runs under this leader's token.
@@ -103,6 +124,10 @@
     [[nodiscard]] base::resources free_resources() const {
         return listing.capacity - used;
     }
+    /// @return what the present runs will release, earliest first; none of it
+    /// before @p now.
+    [[nodiscard]] std::vector<expected_release>
+    expected_releases(base::instant now) const;
     /// @return an estimate of the endpoint's clock at @p now.
     [[nodiscard]] endpoint_time estimate_clock(base::instant now) const;
     /// @return the local time at which the lease has certainly expired, also
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -32,8 +32,8 @@
     /// How long a leader keeps sending orders after its own lease was last
     /// confirmed.
     base::milliseconds authority_timeout{6000};
-    /// Share of each endpoint's processors kept free of work that is not
-    /// urgent once the fleet is busy, so that urgent work starts at once.
+    /// Share of the endpoints kept free of work that is not urgent once the
+    /// fleet is busy, so that urgent work starts at once.
     /// Urgent work is 11% of the offered load at both deployments; a third more
     /// covers bursts.
     double urgent_headroom{0.15};
@@ -219,6 +219,8 @@
     void place_ready_steps(base::instant now);
     /// Counts the usable endpoints and clears their claims.
     void begin_pass(base::instant now);
+    /// Determines which usable endpoints are kept for urgent work first.
+    void rank_reserve();
     /// @return how much work may wait for room at the same time, as a share of
     /// the fleet.
     [[nodiscard]] double window_size() const;
@@ -251,11 +253,11 @@
     find_candidates(const tracked_job& job, const step_rank& rank,
                     const step_execution& step, base::instant now,
                     candidate_filter filter) const;
-    /// @return the share of each endpoint's processors that the step has to
-    /// leave to urgent work.
+    /// @return the share of the endpoints that the step has to leave to urgent
+    /// work.
     [[nodiscard]] double headroom_for(const step_rank& rank,
                                       const base::resources& need,
-                                      int waiting) const;
+                                      const step_execution& step) const;
     [[nodiscard]] endpoint_state& endpoint_by_id(std::string_view id);
     [[nodiscard]] int count_runs_of_step(const endpoint_state& endpoint,
                                          const step_rank& rank) const;
@@ -295,14 +297,21 @@
                                   step_execution& step, int missing,
                                   base::instant now);
     void apply_pending_claims(const step_execution& step);
+    /// @param share of the fleet that a gang needs.
+    /// @return how long the gang may take to gather its room.
+    [[nodiscard]] static base::milliseconds gathering_time(double share);
     /// Where a gang could run among the endpoints that admit it.
     struct gang_room {
-        std::vector<fit_candidate> admitted; ///< those with free room first
+        std::vector<fit_candidate> admitted; ///< those of the claims first
         int idle_slots{0}; ///< tasks that fit if nothing else runs
         int free_slots{0}; ///< tasks that fit at present, at most all
-        /// Of the claimed slots, those on endpoints with a valid ticket.
+        /// Of the claimed slots, those on endpoints whose ticket is valid when
+        /// the room is complete.
         int ticketed_slots{0};
-        std::vector<room_claim> claims; ///< empty unless all tasks have one
+        /// The slots that are expected to be free first; empty unless all tasks
+        /// have one.
+        std::vector<room_claim> claims;
+        base::instant complete_at{}; ///< when all of them are free
     };
     [[nodiscard]] gang_room find_gang_room(const tracked_job& job,
                                            const step_rank& rank,
--- a/include/eelgrasslever/workload/job.hpp
+++ b/include/eelgrasslever/workload/job.hpp
@@ -29,6 +29,14 @@
     /// Additional time for each candidate endpoint in the call.
     std::chrono::microseconds call_time_per_candidate{0};
     base::milliseconds ticket_lifetime{0};
+
+    /// @return the time that the service takes for a call.
+    [[nodiscard]] base::milliseconds
+    call_duration(std::size_t candidates) const {
+        return fixed_call_time + std::chrono::duration_cast<base::milliseconds>(
+                                     call_time_per_candidate *
+                                     static_cast<std::int64_t>(candidates));
+    }
 };
 
 /// The policy of the queue that a job was submitted to, as it was when the job
--- a/src/cluster/endpoint_state.cpp
+++ b/src/cluster/endpoint_state.cpp
@@ -1,5 +1,7 @@
 #include "eelgrasslever/cluster/endpoint_state.hpp"
 
+#include <algorithm>
+
 namespace eelgrasslever::cluster {
 
 namespace {
@@ -7,9 +9,40 @@
 /// The endpoints' protocol allows a clock to run 2% slow; another 1% covers
 /// the rounding of both clocks.
 constexpr std::int64_t slow_clock_percent = 3;
+/// Progress from which the speed of a run is known well enough.
+constexpr int min_measured_percent = 5;
+/// A run that has passed its expected end may end at any time.
+constexpr base::milliseconds overdue_remainder{100};
 
 } // namespace
 
+void allocation::update_progress(int reported_percent, base::instant now) {
+    if (reported_percent == percent) {
+        return;
+    }
+    percent = reported_percent;
+    percent_changed_at = now;
+    int progress = percent - initial_percent;
+    if (progress >= min_measured_percent) {
+        expected_end =
+            now + (now - progress_since) * (100 - percent) / progress;
+    }
+}
+
+std::vector<expected_release>
+endpoint_state::expected_releases(base::instant now) const {
+    std::vector<expected_release> result;
+    result.reserve(runs.size());
+    for (const auto& [key, run] : runs) {
+        base::instant at =
+            run.expected_end > now ? run.expected_end : now + overdue_remainder;
+        result.push_back({at, run.need});
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto& a, const auto& b) { return a.at < b.at; });
+    return result;
+}
+
 endpoint_time endpoint_state::estimate_clock(base::instant now) const {
     return clock_reading + (now - clock_read_at);
 }
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -21,7 +21,7 @@
 constexpr double task_surplus = 2.0;
 /// Capacity, relative to its need, of the endpoints among which a gang gathers
 /// room. The more there are, the sooner enough of their tasks end.
-constexpr double gang_choice = 4.0;
+constexpr double gang_choice = 8.0;
 /// Least time that a call for waiting work spends on candidates, relative to
 /// its fixed time. With more candidates, room becomes free sooner on one that
 /// admits the step, and a second call is needed less often.
@@ -30,19 +30,14 @@
 /// for further endpoints. It bounds the share of a channel's time that a step
 /// without room takes.
 constexpr int call_pause_factor = 2;
+/// Least number of further endpoints that a call for a gang is made for; it
+/// takes nearly as long for a few.
+constexpr std::size_t min_further_candidates = 24;
 /// Pause before candidates are looked for again if none had room.
 constexpr base::milliseconds no_candidate_pause{30};
 /// Share of the channels that only urgent steps may use.
 constexpr std::size_t urgent_channel_divisor = 8;
 
-base::milliseconds call_duration(const workload::advice_policy& policy,
-                                 std::size_t candidates) {
-    return policy.fixed_call_time +
-           std::chrono::duration_cast<base::milliseconds>(
-               policy.call_time_per_candidate *
-               static_cast<std::int64_t>(candidates));
-}
-
 /// @return how many candidates lengthen a call by `min_candidate_time_share`.
 std::size_t affordable_candidates(const workload::advice_policy& policy) {
     if (policy.call_time_per_candidate.count() <= 0) {
@@ -134,9 +129,9 @@
                     (spec.gang ? gang_surplus : task_surplus);
     double wanted_idle = static_cast<double>(missing) * gang_choice;
     std::size_t min_candidates =
-        rank.priority == 0
-            ? 0
-            : affordable_candidates(*job.execution->job().queue.advice);
+        rank.priority == 0 ? 0
+        : spec.gang        ? max_advice_candidates
+                    : affordable_candidates(*job.execution->job().queue.advice);
     double expected = 0.0;
     double expected_idle = 0.0;
     std::vector<fit_candidate> chosen;
@@ -186,6 +181,12 @@
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
     // A gang gathers its room while it has tickets; the call takes longer than
     // that, and the room would stay idle during it.
+    bool worthwhile = rank.priority == 0 || !spec.gang ||
+                      step.advice.admitted.empty() ||
+                      candidates.size() >= min_further_candidates;
+    if (!worthwhile) {
+        return false;
+    }
     auto claims = spec.gang ? std::vector<room_claim>{}
                             : make_claims(spec, candidates, missing);
     bool asked =
@@ -209,7 +210,7 @@
     }
     advice_call call;
     call.timeout =
-        call_duration(*queue.advice, candidates.size()) + advice_timeout_slack;
+        queue.advice->call_duration(candidates.size()) + advice_timeout_slack;
     call.step = {rank.job, rank.occurrence, rank.step, 0};
     for (const fit_candidate& it : candidates) {
         call.candidates.emplace_back(it.endpoint);
@@ -218,6 +219,8 @@
         m_advice_calls.begin_call(*channel, call.step, call.candidates,
                                   call.timeout + advice_timeout_slack, now);
     step.advice.call_in_flight = true;
+    step.advice.reply_due_at =
+        now + queue.advice->call_duration(candidates.size());
     step.advice.claims = std::move(claims);
     advice_reason reason = classify_call(step.advice, now);
     m_statistics.queues[queue.name]
@@ -269,7 +272,7 @@
     m_statistics.queues[queue.name].tickets_issued += reply.admitted.size();
     step->advice.next_call_at =
         now + call_pause_factor *
-                  call_duration(*queue.advice, call->candidates.size());
+                  queue.advice->call_duration(call->candidates.size());
     std::size_t newly_rejected = 0;
     std::size_t newly_admitted = 0;
     std::set<std::string_view> admitted;
--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -3,6 +3,7 @@
 #include "eelgrasslever/cluster/scheduler.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace eelgrasslever::cluster {
 
@@ -10,20 +11,35 @@
 
 /// Largest share of the fleet that gangs may claim while their room is not
 /// complete. Until it is, the free part of it stays idle.
-constexpr double max_gang_claims = 0.25;
-/// Share of a gang's tasks that must have room before its tickets are renewed.
-/// The rest is expected to become free during the call and the lifetime of the
-/// tickets.
-constexpr double room_before_renewal = 0.7;
+constexpr double max_gang_claims = 0.18;
+/// A gang gathers room if it is expected to be complete within this time, and
+/// longer if it is wide.
+constexpr base::milliseconds min_gathering_time{400};
+/// Pause after a renewal of a gang's tickets, longer with each one, as the
+/// expected room did not become free in time.
+constexpr base::milliseconds renewal_pause{4000};
+/// How much earlier or later than its tickets a gang's room may be complete.
+/// The expected ends of runs are not exact.
+constexpr base::milliseconds gather_slack{400};
+
 /// Share of a gang's tasks that must have room before it counts as begun, so
 /// that it does not give up its room when it becomes overdue.
 constexpr double room_to_persist = 0.85;
 /// Idle capacity of the admitted endpoints, relative to the gang's need, below
 /// which further endpoints are asked about.
-constexpr double min_gang_choice = 3.0;
+constexpr double min_gang_choice = 6.0;
+
+/// Time in which a gang would gather the room of the whole fleet. Wider gangs
+/// need longer, so they are selected earlier.
+constexpr base::milliseconds fleet_gathering_time{40'000};
 
 } // namespace
 
+base::milliseconds scheduler::gathering_time(double share) {
+    return base::milliseconds(static_cast<std::int64_t>(
+        share * static_cast<double>(fleet_gathering_time.count())));
+}
+
 void scheduler::apply_pending_claims(const step_execution& step) {
     for (const room_claim& it : step.advice.claims) {
         if (endpoint_state* endpoint = m_endpoints_by_number[it.endpoint]) {
@@ -39,89 +55,132 @@
                                                base::instant now) const {
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
-    std::vector<fit_candidate> known =
-        find_candidates(job, rank, step, now, candidate_filter::admitted);
-    // Free room first, then room on the endpoints with the most of it.
-    std::sort(known.begin(), known.end(),
-              [](const fit_candidate& a, const fit_candidate& b) {
-                  return a.available.cpu_milli > b.available.cpu_milli;
-              });
+    struct slot {
+        base::instant free_at{};
+        std::size_t candidate{0};
+    };
     gang_room result;
-    std::vector<int> slots(known.size(), 0);
-    int claimed = 0;
-    for (std::size_t i = 0; i < known.size(); ++i) {
-        const fit_candidate& it = known[i];
-        result.idle_slots += tasks_that_fit(spec.need, it.idle, it.max_tasks);
-        slots[i] =
-            std::min(missing - claimed,
-                     tasks_that_fit(spec.need, it.available, it.max_tasks));
-        claimed += slots[i];
-    }
-    result.free_slots = claimed;
-    for (std::size_t i = 0; i < known.size() && claimed < missing; ++i) {
-        const fit_candidate& it = known[i];
+    result.admitted =
+        find_candidates(job, rank, step, now, candidate_filter::admitted);
+    std::vector<slot> slots;
+    for (std::size_t i = 0; i < result.admitted.size(); ++i) {
+        const fit_candidate& it = result.admitted[i];
+        int idle = tasks_that_fit(spec.need, it.idle, it.max_tasks);
+        result.idle_slots += idle;
+        base::resources available = it.available;
+        int found = tasks_that_fit(spec.need, available, idle);
+        slots.insert(slots.end(), static_cast<std::size_t>(found), {now, i});
+        result.free_slots += found;
+        if (found == idle) {
+            continue;
+        }
         const endpoint_state& endpoint = *m_endpoints_by_number[it.number];
-        int unclaimed =
-            tasks_that_fit(spec.need, it.idle - endpoint.claimed, it.max_tasks);
-        int more = std::clamp(unclaimed - slots[i], 0, missing - claimed);
-        slots[i] += more;
-        claimed += more;
+        for (const expected_release& next : endpoint.expected_releases(now)) {
+            available += next.amount;
+            int fits = tasks_that_fit(spec.need, available, idle);
+            for (; found < fits; ++found) {
+                slots.push_back({next.at, i});
+            }
+        }
     }
-    for (std::size_t i = 0; i < known.size() && claimed == missing; ++i) {
-        if (slots[i] == 0) {
+    result.free_slots = std::min(result.free_slots, missing);
+    if (static_cast<int>(slots.size()) < missing) {
+        return result;
+    }
+    auto last = slots.begin() + missing;
+    std::nth_element(slots.begin(), last - 1, slots.end(),
+                     [](const slot& a, const slot& b) {
+                         return std::pair(a.free_at, a.candidate) <
+                                std::pair(b.free_at, b.candidate);
+                     });
+    result.complete_at = (last - 1)->free_at;
+    std::vector<int> claimed(result.admitted.size(), 0);
+    std::for_each(slots.begin(), last,
+                  [&](const slot& it) { claimed[it.candidate]++; });
+    std::vector<fit_candidate> others;
+    std::vector<fit_candidate> used;
+    for (std::size_t i = 0; i < claimed.size(); ++i) {
+        fit_candidate& it = result.admitted[i];
+        if (claimed[i] == 0) {
+            others.push_back(std::move(it));
             continue;
         }
         result.claims.push_back(
-            {known[i].number, base::scaled(spec.need, slots[i])});
-        auto ticket = step.advice.admitted.find(known[i].number);
+            {it.number, base::scaled(spec.need, claimed[i])});
+        auto ticket = step.advice.admitted.find(it.number);
         if (ticket != step.advice.admitted.end() &&
-            ticket->second.valid_until > now) {
-            result.ticketed_slots += slots[i];
+            ticket->second.valid_until > std::max(result.complete_at, now)) {
+            result.ticketed_slots += claimed[i];
         }
+        used.push_back(std::move(it));
     }
-    result.admitted = std::move(known);
+    result.admitted = std::move(used);
+    std::move(others.begin(), others.end(),
+              std::back_inserter(result.admitted));
     return result;
 }
 
 scheduler::placement_outcome
 scheduler::gather_room(tracked_job& job, const step_rank& rank,
                        step_execution& step, int missing, base::instant now) {
-    if (step.advice.call_in_flight) {
-        apply_pending_claims(step);
-        return placement_outcome::waiting;
-    }
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
-    gang_room room = find_gang_room(job, rank, step, missing, now);
+    const auto& advice = job.execution->job().queue.advice;
     double share = dominant_share(spec.need, m_usable_total) * missing;
+    base::milliseconds patience = min_gathering_time + gathering_time(share);
+    if (step.advice.call_in_flight &&
+        step.advice.reply_due_at - now > patience) {
+        return placement_outcome::waiting;
+    }
+    gang_room room = find_gang_room(job, rank, step, missing, now);
+    bool has_room = !room.claims.empty();
+    bool ticketed = !advice || room.ticketed_slots >= missing;
+    // When the gang could start if its room were complete.
+    base::instant usable_at = now;
+    if (!ticketed) {
+        usable_at =
+            step.advice.call_in_flight
+                ? step.advice.reply_due_at
+                : now + advice->call_duration(std::min(room.admitted.size(),
+                                                       max_advice_candidates));
+    }
+    base::milliseconds gather =
+        has_room ? room.complete_at - now : base::milliseconds::max();
+    bool first = m_gang_claims <= 0.0;
+    bool soon = gather <= patience || first;
     // The gang that crosses the limit may claim as well, or one that is wider
     // than the limit never could.
-    if (!room.claims.empty() && m_gang_claims < max_gang_claims) {
-        m_gang_claims += share;
-        step.advice.claims = room.claims;
-        apply_pending_claims(step);
-        step.advice.claims.clear();
+    if (has_room && m_gang_claims < max_gang_claims && soon) {
+        if (room.complete_at + gather_slack >= usable_at) {
+            m_gang_claims += share;
+            step.advice.claims = room.claims;
+            apply_pending_claims(step);
+            step.advice.claims.clear();
+        }
         if (room.free_slots >= room_to_persist * missing) {
             m_ready.insert(rank, true);
         }
     }
     bool can_fit = room.idle_slots >= missing;
-    if (!job.execution->job().queue.advice) {
+    if (!advice) {
         return can_fit ? placement_outcome::waiting
                        : placement_outcome::blocked;
     }
-    if (!may_call(rank, now)) {
+    if (step.advice.call_in_flight || !may_call(rank, now)) {
         return placement_outcome::waiting;
     }
-    if (!room.claims.empty() &&
-        room.free_slots >= room_before_renewal * missing) {
-        if (room.ticketed_slots < missing) {
-            // A call takes hardly longer for all admitted endpoints, and with
-            // tickets for all of them any that become free can be used.
-            room.admitted.resize(
-                std::min(room.admitted.size(), max_advice_candidates));
-            request_advice(job, rank, step, room.admitted, room.claims, now);
-        }
+    bool renew = has_room && !ticketed && soon &&
+                 now >= step.advice.next_renewal_at &&
+                 room.complete_at <= usable_at + gather_slack;
+    if (renew) {
+        // A call takes hardly longer for all admitted endpoints, and with
+        // tickets for all of them any that become free can be used.
+        room.admitted.resize(
+            std::min(room.admitted.size(), max_advice_candidates));
+        step.advice.next_renewal_at =
+            now + step.advice.renewals * renewal_pause;
+        step.advice.renewals++;
+        request_advice(job, rank, step, room.admitted, {}, now);
         return placement_outcome::waiting;
     }
     bool asked = room.idle_slots < min_gang_choice * missing &&
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -2,6 +2,8 @@
 #include "eelgrasslever/observe/log.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace eelgrasslever::cluster {
 
@@ -29,6 +31,9 @@
 /// margin.
 constexpr base::milliseconds max_departure_silence{2000};
 
+/// Fractional parts of its multiples fill an interval evenly.
+constexpr double golden_ratio = std::numbers::phi;
+
 /// @return whether the reply shows that the order was not carried out. A
 /// refused connection counts as no reply.
 bool is_definite_rejection(order_status status) {
@@ -57,6 +62,7 @@
         endpoint.number =
             static_cast<std::uint32_t>(m_endpoints_by_number.size());
         m_endpoints_by_number.push_back(&endpoint);
+        endpoint.reserve_order = std::fmod(endpoint.number * golden_ratio, 1.0);
         endpoint.next_renewal = now;
         endpoint.last_reply_at = now;
         endpoint.clock_read_at = now;
@@ -290,8 +296,7 @@
         run.checkpoint = row.checkpoint;
     }
     if (row.percent != run.percent) {
-        run.percent = row.percent;
-        run.percent_changed_at = now;
+        run.update_progress(row.percent, now);
         return;
     }
     tracked_job* job = find_job(row.task.job);
@@ -322,6 +327,9 @@
     run.started_at = now;
     run.percent = row.percent;
     run.percent_changed_at = now;
+    run.initial_percent = row.percent;
+    run.progress_since = now;
+    run.expected_end = now;
     run.checkpoint = row.checkpoint;
     tracked_job* job = find_job(row.task.job);
     task_execution* task =
@@ -558,6 +566,7 @@
         if (run.phase == allocation_phase::starting) {
             run.phase = allocation_phase::running;
             run.percent_changed_at = now;
+            run.progress_since = now;
         }
         run.start_confirmed_sequence = ++endpoint.order_sequence;
         note_job_started(order.task.job, now);
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -84,6 +84,8 @@
                 run.start_confirmed_sequence = endpoint.order_sequence;
                 run.started_at = now;
                 run.percent_changed_at = now;
+                run.progress_since = now;
+                run.expected_end = now + spec.steps[s].estimated_duration;
                 endpoint.used += run.need;
                 endpoint.runs[{
                     {spec.id, number, static_cast<int>(s), static_cast<int>(i)},
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -14,13 +14,10 @@
 /// start the task elsewhere.
 constexpr base::milliseconds start_timeout{1500};
 /// How soon work that is selected should find room. Tickets last 2 s at the
-/// deployments, of which half remains for replies that come late.
-constexpr base::milliseconds window_horizon{1000};
+/// deployments.
+constexpr base::milliseconds window_horizon{2000};
 /// Time over which the rate of released room is averaged.
 constexpr base::milliseconds release_averaging_time{2000};
-/// Time in which a gang would gather the room of the whole fleet. Wider gangs
-/// need longer, so they are selected earlier.
-constexpr base::milliseconds fleet_gathering_time{40'000};
 /// Steps examined in one pass, which bounds its duration.
 constexpr std::size_t max_examined_steps = 500;
 /// How long a selected step may go without placing a task before others get
@@ -60,6 +57,8 @@
     for (auto& [id, endpoint] : m_endpoints) {
         endpoint.claimed_before = std::exchange(endpoint.claimed, {});
         if (is_usable(endpoint, now)) {
+            endpoint.reserve_rank = m_endpoints.size();
+            endpoint.usable_in = m_pass;
             m_usable.push_back(&endpoint);
             m_usable_total += endpoint.listing.capacity;
             m_usable_used += endpoint.used;
@@ -69,6 +68,20 @@
                 base::component_max(m_largest_free, endpoint.free_resources());
         }
     }
+    rank_reserve();
+}
+
+void scheduler::rank_reserve() {
+    auto count = static_cast<std::size_t>(std::ceil(
+        m_limits.urgent_headroom * static_cast<double>(m_usable.size())));
+    std::vector<endpoint_state*> reserve(count);
+    std::partial_sort_copy(m_usable.begin(), m_usable.end(), reserve.begin(),
+                           reserve.end(), [](const auto* a, const auto* b) {
+                               return a->reserve_order < b->reserve_order;
+                           });
+    for (std::size_t i = 0; i < count; ++i) {
+        reserve[i]->reserve_rank = i;
+    }
 }
 
 double scheduler::window_size() const {
@@ -157,9 +170,8 @@
     base::instant latest_start = execution.latest_start(occurrence, step);
     base::milliseconds lead = m_shares.lead_of(execution.job().queue.name);
     if (spec.gang) {
-        double share = dominant_share(spec.need, m_usable_total) * spec.count;
-        lead += base::milliseconds(static_cast<std::int64_t>(
-            share * static_cast<double>(fleet_gathering_time.count())));
+        lead += gathering_time(dominant_share(spec.need, m_usable_total) *
+                               spec.count);
     }
     return {latest_start - lead,
             latest_start,
@@ -215,6 +227,7 @@
     // Most waiting steps can only wait for a reply; this is cheap for them.
     bool only_waits = job->execution->job().queue.advice &&
                       step->advice.call_in_flight &&
+                      (!spec.gang || step->advice.admitted.empty()) &&
                       !has_ticket(step->advice, now);
     if (only_waits) {
         apply_pending_claims(*step);
@@ -228,15 +241,16 @@
     return step->waiting_count == 0 ? placement_outcome::placed : outcome;
 }
 
-// While much of the fleet is idle, urgent work finds room elsewhere, and the
-// whole of an endpoint can hold more of the wide tasks.
+// While much of the fleet is idle, urgent work finds room elsewhere. A step
+// that was deferred again and again may have no other room.
 double scheduler::headroom_for(const step_rank& rank,
-                               const base::resources& need, int waiting) const {
-    if (rank.priority == 0) {
+                               const base::resources& need,
+                               const step_execution& step) const {
+    if (rank.priority == 0 || step.deferral >= max_deferral) {
         return 0.0;
     }
     double used = dominant_share(m_usable_used, m_usable_total) +
-                  dominant_share(need, m_usable_total) * waiting;
+                  dominant_share(need, m_usable_total) * step.waiting_count;
     double busy =
         (used - headroom_begins) / (headroom_complete - headroom_begins);
     return m_limits.urgent_headroom * std::clamp(busy, 0.0, 1.0);
@@ -263,15 +277,19 @@
     const workload::job& job_spec = job.execution->job();
     const workload::step& step_spec =
         job_spec.steps[static_cast<std::size_t>(rank.step)];
-    double headroom = headroom_for(rank, step_spec.need, step.waiting_count);
+    double headroom = headroom_for(rank, step_spec.need, step);
     std::vector<fit_candidate> result;
     auto consider = [&](const endpoint_state& endpoint) {
         if (endpoint.listing.service != job_spec.queue.service) {
             return;
         }
+        double reserved =
+            std::clamp(headroom * static_cast<double>(m_usable.size()) -
+                           static_cast<double>(endpoint.reserve_rank),
+                       0.0, 1.0);
         base::resources idle = endpoint.listing.capacity;
         idle.cpu_milli -= static_cast<std::int64_t>(
-            static_cast<double>(idle.cpu_milli) * headroom);
+            static_cast<double>(idle.cpu_milli) * reserved);
         if (tasks_that_fit(step_spec.need, idle, 1) < 1) {
             return;
         }
@@ -315,7 +333,7 @@
         for (const auto& [number, ticket] : step.advice.admitted) {
             const endpoint_state* endpoint = m_endpoints_by_number[number];
             if ((!needs_ticket || ticket.valid_until > now) &&
-                endpoint != nullptr && is_usable(*endpoint, now)) {
+                endpoint != nullptr && endpoint->usable_in == m_pass) {
                 consider(*endpoint);
             }
         }
@@ -459,6 +477,8 @@
     allocated.phase = allocation_phase::recording;
     allocated.started_at = now;
     allocated.percent_changed_at = now;
+    allocated.progress_since = now;
+    allocated.expected_end = now + spec.estimated_duration;
     allocated.checkpoint = checkpoint;
     auto ticket = step->advice.admitted.find(endpoint.number);
     if (ticket != step->advice.admitted.end()) {
--- a/src/workload/objective.cpp
+++ b/src/workload/objective.cpp
@@ -15,10 +15,7 @@
 std::vector<base::milliseconds> remaining_chain_durations(const job& value) {
     base::milliseconds advice{0};
     if (value.queue.advice) {
-        advice = value.queue.advice->fixed_call_time +
-                 std::chrono::duration_cast<base::milliseconds>(
-                     value.queue.advice->call_time_per_candidate *
-                     usual_advice_candidates);
+        advice = value.queue.advice->call_duration(usual_advice_candidates);
     }
     std::vector<base::milliseconds> result(value.steps.size());
     // Steps depend on earlier steps only.
--- a/tests/cluster/overload_test.cpp
+++ b/tests/cluster/overload_test.cpp
@@ -84,4 +84,29 @@
     }
 }
 
+// Pattern: wide gangs offer half of the load, with a burst, on endpoints that
+// hold three of their tasks. Room stood idle while gangs waited for tickets and
+// for the rest of their room, and each endpoint kept a part free that was too
+// small for any task.
+BOOST_AUTO_TEST_CASE(wide_gangs_on_small_endpoints_leave_no_room_idle) {
+    constexpr double target_served = 0.95;
+    observe::set_logging_enabled(false);
+    for (std::uint64_t seed : {1, 2}) {
+        auto options = test::make_gang_heavy_load(540, 97, 0.88);
+        options.seed = seed;
+        options.arrivals = std::chrono::seconds(41);
+        auto report = test::run_mixed_load(options);
+        BOOST_TEST(report.violations == 0u);
+        for (const auto& [name, row] : report.classes) {
+            BOOST_TEST(row.served_share() >= target_served,
+                       name << ": served " << row.served_share() << "; seed "
+                            << seed);
+            BOOST_TEST(row.largest_served_share >= 0.5 * row.served_share(),
+                       name << ": largest tenth " << row.largest_served_share
+                            << "; seed " << seed);
+        }
+    }
+    observe::set_logging_enabled(true);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/mixed_load.cpp
+++ b/tests/support/mixed_load.cpp
@@ -17,6 +17,12 @@
     double worth{0.0};
 };
 
+/// @return a sample with a mean of one.
+double draw_factor(double spread, std::mt19937_64& random) {
+    return std::lognormal_distribution<double>(-spread * spread / 2.0,
+                                               spread)(random);
+}
+
 /// @return a number in [0, 1) that depends only on @p text.
 double unit_hash(const std::string& text) {
     constexpr std::size_t buckets = 10'000;
@@ -60,13 +66,6 @@
     return job;
 }
 
-milliseconds advice_duration(const workload::advice_policy& policy,
-                             std::size_t candidates) {
-    return policy.fixed_call_time + std::chrono::duration_cast<milliseconds>(
-                                        policy.call_time_per_candidate *
-                                        static_cast<std::int64_t>(candidates));
-}
-
 submitted_job describe(const job_class& kind, const workload::job& job,
                        instant now) {
     constexpr std::size_t usual_candidates = 30;
@@ -76,7 +75,7 @@
     milliseconds chain{0};
     for (const workload::step& step : job.steps) {
         chain += step.estimated_duration +
-                 advice_duration(kind.advice, usual_candidates);
+                 kind.advice.call_duration(usual_candidates);
         result.work_core_seconds +=
             static_cast<double>(step.count) *
             static_cast<double>(step.need.cpu_milli) / 1000.0 *
@@ -90,6 +89,32 @@
     return result;
 }
 
+/// Scales the arrival rates so that the classes offer @p load times the
+/// processors of all endpoints.
+void scale_arrivals(mixed_load_options& options, double load) {
+    double offered = 0.0;
+    for (const job_class& kind : options.classes) {
+        offered += kind.jobs_per_second * mean_work(kind);
+    }
+    double room = static_cast<double>(options.endpoints) *
+                  static_cast<double>(options.capacity.cpu_milli) / 1000.0;
+    for (job_class& kind : options.classes) {
+        kind.jobs_per_second *= load * room / offered;
+    }
+}
+
+double burst_factor(const mixed_load_options& options, const job_class& kind,
+                    milliseconds time) {
+    double result = 1.0;
+    for (const burst& it : options.bursts) {
+        if (it.job_class == kind.name && time >= it.begins &&
+            time < it.begins + it.duration) {
+            result *= it.factor;
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 double quantity::draw(std::mt19937_64& random) const {
@@ -161,15 +186,79 @@
     urgent.admitted_share = 0.7;
 
     options.classes = {gang, batch, urgent};
-    double offered = 0.0;
-    for (const job_class& kind : options.classes) {
-        offered += kind.jobs_per_second * mean_work(kind);
-    }
-    double room = static_cast<double>(endpoints) *
-                  static_cast<double>(options.capacity.cpu_milli) / 1000.0;
-    for (job_class& kind : options.classes) {
-        kind.jobs_per_second *= load * room / offered;
-    }
+    scale_arrivals(options, load);
+    return options;
+}
+
+mixed_load_options make_gang_heavy_load(int endpoints, int vms, double load) {
+    mixed_load_options options;
+    options.endpoints = endpoints;
+    options.vms = vms;
+    options.capacity.cpu_milli = 16'000;
+    options.capacity.memory_mb = 32'768;
+
+    job_class gang;
+    gang.name = "gang";
+    gang.priority = 1;
+    gang.jobs_per_second = 9.16;
+    gang.steps = {1.2, 0.4, 3.0};
+    gang.width = {20.0, 0.8, 120.0};
+    gang.cpu_milli = {4500.0, 0.4, 7600.0};
+    gang.memory_mb = {6500.0, 0.5, 13'000.0};
+    gang.work_ms = {4000.0, 0.5, 10'000.0};
+    gang.uneven = 0.3;
+    gang.estimate_error = 0.5;
+    gang.gang_share = 1.0;
+    gang.failed_share = 0.002;
+    gang.stretch = 2.2;
+    gang.target_latency = milliseconds(1000);
+    gang.advice = {milliseconds(507), std::chrono::microseconds(7280),
+                   milliseconds(2500)};
+    gang.admitted_share = 0.35;
+
+    job_class batch;
+    batch.name = "batch";
+    batch.priority = 2;
+    batch.jobs_per_second = 12.2;
+    batch.steps = {1.5, 0.4, 3.8};
+    batch.width = {19.0, 0.6, 96.0};
+    batch.cpu_milli = {2800.0, 0.45, 8300.0};
+    batch.memory_mb = {2800.0, 0.6, 8500.0};
+    batch.work_ms = {2700.0, 0.5, 6800.0};
+    batch.uneven = 0.15;
+    batch.estimate_error = 0.5;
+    batch.failed_share = 0.005;
+    batch.max_attempts = 3;
+    batch.stretch = 4.0;
+    batch.target_latency = milliseconds(3000);
+    batch.advice = {milliseconds(182), std::chrono::microseconds(2600),
+                    milliseconds(2500)};
+    batch.admitted_share = 0.45;
+
+    job_class urgent;
+    urgent.name = "urgent";
+    urgent.priority = 0;
+    urgent.jobs_per_second = 109.0;
+    urgent.steps = {1.0, 0.0, 2.5};
+    urgent.width = {3.1, 0.8, 19.0};
+    urgent.cpu_milli = {3900.0, 0.45, 12'000.0};
+    urgent.memory_mb = {7300.0, 0.6, 22'000.0};
+    urgent.work_ms = {800.0, 0.5, 2000.0};
+    urgent.uneven = 0.3;
+    urgent.estimate_error = 0.2;
+    urgent.gang_share = 0.3;
+    urgent.failed_share = 0.05;
+    urgent.stretch = 1.5;
+    urgent.target_latency = milliseconds(250);
+    urgent.advice = {milliseconds(21), std::chrono::microseconds(299),
+                     milliseconds(2500)};
+    urgent.admitted_share = 0.7;
+
+    options.classes = {gang, batch, urgent};
+    scale_arrivals(options, load);
+    options.bursts = {
+        {"urgent", std::chrono::seconds(7), std::chrono::seconds(4), 2.0},
+        {"gang", std::chrono::seconds(19), std::chrono::seconds(4), 1.8}};
     return options;
 }
 
@@ -188,9 +277,17 @@
         fleet.channels.push_back("vm-" + std::to_string(i));
     }
     fleet.task_duration = [&](const workload::task_key& key) {
-        return specs.at(key.job)
-            .steps[static_cast<std::size_t>(key.step)]
-            .estimated_duration;
+        const workload::step& step =
+            specs.at(key.job).steps[static_cast<std::size_t>(key.step)];
+        double uneven = submitted.at(key.job).kind->uneven;
+        if (step.gang || uneven <= 0.0) {
+            return step.estimated_duration;
+        }
+        std::mt19937_64 task_random(
+            std::hash<std::string>{}(workload::to_string(key)));
+        return milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(step.estimated_duration.count()) *
+            draw_factor(uneven, task_random)));
     };
     fleet.admits = [&](const workload::task_key& step, const std::string& id) {
         return unit_hash(step.job + "." + std::to_string(step.step) + "@" +
@@ -205,7 +302,7 @@
     fleet.advice_duration = [&](const cluster::advice_call& call) {
         const job_class& kind = *submitted.at(call.step.job).kind;
         milliseconds duration =
-            advice_duration(kind.advice, call.candidates.size());
+            kind.advice.call_duration(call.candidates.size());
         class_report& row = report.classes[kind.name];
         row.advice_calls++;
         double seconds = static_cast<double>(duration.count()) / 1000.0;
@@ -229,6 +326,7 @@
              c < options.classes.size() && fleet.now() < end_of_arrivals; ++c) {
             const job_class& kind = options.classes[c];
             due[c] += kind.jobs_per_second *
+                      burst_factor(options, kind, fleet.now() - start) *
                       static_cast<double>(slice.count()) / 1000.0;
             for (; due[c] >= 1.0; due[c] -= 1.0) {
                 std::string id =
@@ -240,6 +338,13 @@
                 row.owed += submitted[id].worth;
                 row.work_core_seconds += submitted[id].work_core_seconds;
                 specs[id] = job;
+                for (workload::step& step : job.steps) {
+                    step.estimated_duration =
+                        milliseconds(static_cast<std::int64_t>(
+                            static_cast<double>(
+                                step.estimated_duration.count()) *
+                            draw_factor(kind.estimate_error, random)));
+                }
                 fleet.submit(std::move(job));
             }
         }
@@ -267,6 +372,7 @@
         bool completed = ended && fleet.progress_of(id).state ==
                                       workload::job_state::completed;
         class_report& row = report.classes[job.kind->name];
+
         milliseconds age =
             completed ? *ended - job.submitted_at : milliseconds::max();
         bool late = age > job.objective && age <= 3 * job.objective;
@@ -289,6 +395,12 @@
                               [](const auto& job) { return job.second; })) /
             static_cast<double>(jobs.size());
     }
+    double offered = 0;
+    for (auto& [n, r] : report.classes)
+        offered += r.work_core_seconds;
+    fprintf(stderr, "offered %.3f\n",
+            offered * 1000 / options.endpoints / options.capacity.cpu_milli /
+                options.arrivals.count());
     report.violations = fleet.violations().size();
     return report;
 }
--- a/tests/support/mixed_load.hpp
+++ b/tests/support/mixed_load.hpp
@@ -30,6 +30,10 @@
     quantity cpu_milli; ///< of a task
     quantity memory_mb; ///< of a task
     quantity work_ms;   ///< of a task
+    /// Spread of the tasks' durations around the step's. The members of a gang
+    /// end together.
+    double uneven{0.0};
+    double estimate_error{0.0}; ///< spread of the estimates around the durations
     double gang_share{0.0};
     double failed_share{0.0}; ///< of the runs
     int max_attempts{4};
@@ -63,6 +67,14 @@
     }
 };
 
+/// A time in which one class submits more jobs.
+struct burst {
+    std::string job_class;
+    std::chrono::seconds begins{0};
+    std::chrono::seconds duration{4};
+    double factor{1.0}; ///< of the usual rate
+};
+
 struct mixed_load_options {
     std::uint64_t seed{1};
     int endpoints{350};
@@ -72,6 +84,7 @@
     /// Time after the last arrival in which jobs may still complete.
     std::chrono::seconds finish{14};
     std::vector<job_class> classes;
+    std::vector<burst> bursts;
 };
 
 struct mixed_load_report {
@@ -90,6 +103,11 @@
 [[nodiscard]] mixed_load_options make_three_class_load(int endpoints, int vms,
                                                        double load);
 
+/// The same classes on endpoints of 16 cores, with a width of the gangs that
+/// needs up to a tenth of 540 endpoints at the same time.
+[[nodiscard]] mixed_load_options make_gang_heavy_load(int endpoints, int vms,
+                                                      double load);
+
 [[nodiscard]] mixed_load_report
 run_mixed_load(const mixed_load_options& options);
 
