Report malformed settings in builds without NDEBUG, too

Users saw: in a build without NDEBUG, a malformed settings or experiment file aborts the program in an assertion of the TOML library (parse_key) in place of an error. Cause: the library asserts on input that it reports as a parse error otherwise. Change: base/toml.hpp includes it without its assertions, in one place.

--- a/tools/eelload/experiment.cpp
+++ b/tools/eelload/experiment.cpp
@@ -1,8 +1,8 @@
 #include "experiment.hpp"
 
+#include "eelgrasslever/base/toml.hpp"
+
 #include <set>
-#define TOML_EXCEPTIONS 0
-#include <toml++/toml.h>
 
 namespace eelload {
 
