--- a/tests/support/mixed_load.hpp
+++ b/tests/support/mixed_load.hpp
@@ -33,7 +33,8 @@
     /// Spread of the tasks' durations around the step's. The members of a gang
     /// end together.
     double uneven{0.0};
-    double estimate_error{0.0}; ///< spread of the estimates around the durations
+    double estimate_error{
+        0.0}; ///< spread of the estimates around the durations
     double gang_share{0.0};
     double failed_share{0.0}; ///< of the runs
     int max_attempts{4};
