Log what the conclusion that runs are lost rests on

runs_lost named the conclusion only. No change of a decision. the_log_line_of_each_decision_has_its_fields asks for the new fields.

--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -457,10 +457,23 @@
 
 void scheduler::drop_all_runs(endpoint_state& endpoint, const char* why,
                               base::instant now) {
-    observe::log_event("runs_lost",
-                       {{"endpoint", endpoint.listing.id},
-                        {"runs", std::to_string(endpoint.runs.size())},
-                        {"why", why}});
+    auto ms_since = [now](base::instant then) {
+        return std::to_string((now - then).count());
+    };
+    observe::log_event(
+        "runs_lost",
+        {{"endpoint", endpoint.listing.id},
+         {"runs", std::to_string(endpoint.runs.size())},
+         {"why", why},
+         {"token", std::to_string(m_term.token)},
+         {"inventoried", endpoint.inventoried ? "1" : "0"},
+         {"seen_ms_ago", ms_since(endpoint.last_reply_at)},
+         {"unlisted_ms_ago",
+          endpoint.listed ? "listed" : ms_since(endpoint.unlisted_at)},
+         {"lease_left_ms",
+          endpoint.has_clock_reading
+              ? std::to_string((endpoint.lease_expiry() - now).count())
+              : "unknown"}});
     auto lost = std::move(endpoint.runs);
     endpoint.runs.clear();
     endpoint.used = {};
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -162,7 +162,9 @@
     {"endpoint_suspected", {"endpoint", "why", "failures", "rest_ms"}},
     {"endpoint_inventoried", {"endpoint", "running", "ended"}},
     {"run_missing", {"task", "run", "endpoint"}},
-    {"runs_lost", {"endpoint", "runs", "why"}},
+    {"runs_lost",
+     {"endpoint", "runs", "why", "token", "inventoried", "seen_ms_ago",
+      "unlisted_ms_ago", "lease_left_ms"}},
 };
 
 struct event_recorder {
