Add failing tests of endpoints that are cut off from the registry

The simulated fleet can unlist an endpoint that goes on running, list it as draining and replace it by another incarnation at its address. It reports a task that was started again after a completion that the leader acknowledges, unless the endpoint's lease lapsed after that completion.

--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr base::milliseconds second{1000};
+constexpr base::milliseconds millisecond{1};
 
 void expect_no_violations(const fake_fleet& fleet) {
     for (const std::string& violation : fleet.violations()) {
@@ -213,6 +214,124 @@
     expect_no_violations(fleet);
 }
 
+// A leader that never reached the endpoint took its own election for the
+// endpoint's last reply, and the lapse of the entry for a shutdown.
+BOOST_AUTO_TEST_CASE(
+    a_draining_endpoint_that_no_longer_renews_its_entry_is_not_restarted) {
+    fake_fleet fleet(20, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 5 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(8));
+    fleet.drain_endpoint("e1");
+    fleet.endpoint("e1").reachable = false;
+    fleet.elect_leader(1400 * millisecond);
+    fleet.run_for(1600 * millisecond);
+    fleet.unlist_endpoint("e1");
+    BOOST_TEST(fleet.run_until_jobs_end(40 * second));
+    expect_no_violations(fleet);
+}
+
+// The endpoint was cut off from the registry first and from the leader later,
+// so it replied shortly before, or even after, its entry lapsed.
+BOOST_AUTO_TEST_CASE(
+    a_draining_endpoint_that_is_cut_off_in_two_steps_is_not_restarted) {
+    for (base::milliseconds unlisted_first :
+         {-500 * millisecond, 500 * millisecond}) {
+        fake_fleet fleet(21, {});
+        fleet.add_endpoint("e1", cores(4));
+        fleet.elect_leader();
+        fleet.task_duration = [](const auto&) { return 5 * second; };
+        fleet.submit(make_job("a", 4, 1000));
+        fleet.run_for(second);
+        fleet.add_endpoint("e2", cores(8));
+        fleet.drain_endpoint("e1");
+        fleet.run_for(500 * millisecond);
+        if (unlisted_first > 0 * millisecond) {
+            fleet.unlist_endpoint("e1");
+            fleet.run_for(unlisted_first);
+            fleet.endpoint("e1").reachable = false;
+        } else {
+            fleet.endpoint("e1").reachable = false;
+            fleet.run_for(-unlisted_first);
+            fleet.unlist_endpoint("e1");
+        }
+        BOOST_TEST(fleet.run_until_jobs_end(40 * second));
+        expect_no_violations(fleet);
+    }
+}
+
+// A new leader took endpoints whose entries lapsed in an outage of the store
+// for gone. They lived, and their tasks ran twice.
+BOOST_AUTO_TEST_CASE(
+    an_endpoint_cut_off_from_the_registry_goes_on_under_a_new_leader) {
+    for (bool reachable : {true, false}) {
+        fake_fleet fleet(22, {});
+        fleet.add_endpoint("e1", cores(4));
+        fleet.elect_leader();
+        fleet.task_duration = [](const auto&) { return 5500 * millisecond; };
+        fleet.submit(make_job("a", 4, 1000));
+        fleet.run_for(second);
+        fleet.add_endpoint("e2", cores(8));
+        fleet.unlist_endpoint("e1");
+        fleet.endpoint("e1").reachable = reachable;
+        fleet.store_has_recovered = true;
+        fleet.elect_leader(1200 * millisecond);
+        fleet.run_for(4500 * millisecond);
+        BOOST_TEST(fleet.starts() == 4u);
+        fleet.endpoint("e1").reachable = true;
+        fleet.list_endpoint("e1");
+        BOOST_TEST(fleet.run_until_jobs_end(40 * second));
+        BOOST_TEST(fleet.starts() == 4u);
+        expect_no_violations(fleet);
+    }
+}
+
+// The task ended while its endpoint was cut off from the leader and the
+// registry. The next leader started it again and then acknowledged the end.
+BOOST_AUTO_TEST_CASE(a_completion_behind_a_cut_is_recorded_by_the_next_leader) {
+    fake_fleet fleet(23, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 1500 * millisecond; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(8));
+    fleet.store_up = false;
+    fleet.unlist_endpoint("e1");
+    fleet.endpoint("e1").reachable = false;
+    fleet.store_up = true;
+    fleet.store_has_recovered = true;
+    fleet.elect_leader(1200 * millisecond);
+    fleet.run_for(3300 * millisecond);
+    fleet.endpoint("e1").reachable = true;
+    fleet.list_endpoint("e1");
+    BOOST_TEST(fleet.run_until_jobs_end(20 * second));
+    fleet.run_for(second);
+    BOOST_TEST(fleet.starts() == 4u);
+    expect_no_violations(fleet);
+}
+
+// An endpoint without a registry entry can't be asked unless the leader knows
+// its address; the reply of its successor there shows that it has ended.
+BOOST_AUTO_TEST_CASE(
+    tasks_of_an_endpoint_replaced_during_an_outage_restart_at_once) {
+    fake_fleet fleet(24, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(8));
+    fleet.replace_endpoint("e1");
+    fleet.elect_leader(second);
+    fleet.run_for(second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_a_hanging_endpoint_are_restarted_elsewhere) {
     fake_fleet fleet(9, {});
     fleet.add_endpoint("e1", cores(4)).hangs = true;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -80,9 +80,7 @@
     endpoint.listing.address = id;
     endpoint.listing.rack = "r1";
     endpoint.listing.capacity = capacity;
-    if (m_leader) {
-        m_leader->on_listed(endpoint.listing, m_now);
-    }
+    list_endpoint(id);
     return endpoint;
 }
 
@@ -97,6 +95,32 @@
     }
 }
 
+void fake_fleet::replace_endpoint(const std::string& id) {
+    remove_endpoint(id);
+    m_endpoints.at(id).reachable = true;
+    m_endpoints.at(id).replaced = true;
+}
+
+void fake_fleet::unlist_endpoint(const std::string& id) {
+    m_endpoints.at(id).registered = false;
+    if (m_leader) {
+        m_leader->on_unlisted(id, m_now);
+    }
+}
+
+void fake_fleet::list_endpoint(const std::string& id) {
+    fake_endpoint& endpoint = m_endpoints.at(id);
+    endpoint.registered = true;
+    if (m_leader) {
+        m_leader->on_listed(endpoint.listing, m_now);
+    }
+}
+
+void fake_fleet::drain_endpoint(const std::string& id) {
+    m_endpoints.at(id).listing.draining = true;
+    list_endpoint(id);
+}
+
 void fake_fleet::elect_leader(milliseconds pause) {
     m_leader.reset();
     m_term++;
@@ -153,8 +177,8 @@
 
 void fake_fleet::finish_run(fake_endpoint& endpoint, const run_key& key,
                             task_outcome outcome) {
-    endpoint.completions.push_back(
-        {endpoint.next_sequence++, key.task, key.run, outcome, ""});
+    std::uint64_t sequence = endpoint.next_sequence++;
+    endpoint.completions.push_back({sequence, key.task, key.run, outcome, ""});
     endpoint.runs.erase(key);
     int& highest_ended_run = endpoint.highest_ended_run[key.task];
     highest_ended_run = std::max(highest_ended_run, key.run);
@@ -166,6 +190,7 @@
     stored_job& job = m_jobs.at(key.task.job);
     if (outcome == task_outcome::done) {
         job.done[{key.task.occurrence, key.task.step}].insert(key.task.index);
+        endpoint.done_at[sequence] = m_now;
     } else if (outcome == task_outcome::failed) {
         job.failed[key.task].insert(key.run);
     }
@@ -252,10 +277,32 @@
     }
 }
 
+// An end counts for nothing once the endpoint's lease has lapsed after it.
+void fake_fleet::check_acknowledgement(const fake_endpoint& endpoint,
+                                       const cluster::finished_task& end) {
+    auto done = endpoint.done_at.find(end.sequence);
+    if (done == endpoint.done_at.end() ||
+        endpoint.lease_lapsed_at >= done->second) {
+        return;
+    }
+    const auto& starts = m_jobs.at(end.task.job).last_start;
+    auto last = starts.find(end.task);
+    if (last != starts.end() && last->second > done->second) {
+        add_violation("started again after a completion that is acknowledged "
+                      "now: " +
+                      workload::to_string(end.task) + " run " +
+                      std::to_string(end.run) + " on " + endpoint.listing.id);
+    }
+}
+
 order_reply fake_fleet::start_run(fake_endpoint& endpoint,
                                   cluster::fencing_token token,
                                   const cluster::start_order& order) {
     order_reply out{order_status::done, endpoint_clock()};
+    if (endpoint.replaced) {
+        out.status = order_status::other_incarnation;
+        return out;
+    }
     if (token < endpoint.token) {
         out.status = order_status::fenced;
         return out;
@@ -276,6 +323,7 @@
         return out;
     }
     check_start(endpoint, order);
+    m_jobs.at(order.task.job).last_start[order.task] = m_now;
     m_starts++;
     m_first_start.try_emplace(order.task.job, m_now);
     milliseconds work = task_duration(order.task);
@@ -298,6 +346,7 @@
                        cluster::fencing_token token,
                        const cluster::start_order& order) {
     std::string id = to.id;
+    bool addressed = !to.address.empty();
     std::uint64_t term = m_term;
     bool late = chance(m_faults.late_order);
     bool lost = chance(m_faults.lost_reply);
@@ -307,9 +356,10 @@
         }
     };
     schedule(late ? late_order_delay : wire_delay, [this, id, token, order,
-                                                    send_reply, late, lost] {
+                                                    addressed, send_reply, late,
+                                                    lost] {
         fake_endpoint& endpoint = m_endpoints.at(id);
-        if (!endpoint.reachable) {
+        if (!endpoint.reachable || !addressed) {
             if (!late) {
                 schedule(order_timeout, [send_reply] { send_reply({}); });
             }
@@ -331,6 +381,7 @@
                       cluster::fencing_token token,
                       const cluster::stop_order& order) {
     std::string id = to.id;
+    bool addressed = !to.address.empty();
     std::uint64_t term = m_term;
     bool lost = chance(m_faults.lost_reply);
     auto send_reply = [this, id, term, order](const order_reply& reply) {
@@ -338,14 +389,16 @@
             m_leader->on_stopped(id, order, reply, m_now);
         }
     };
-    schedule(wire_delay, [this, id, token, order, send_reply, lost] {
+    schedule(wire_delay, [this, id, token, order, addressed, send_reply, lost] {
         fake_endpoint& endpoint = m_endpoints.at(id);
-        if (!endpoint.reachable || lost) {
+        if (!endpoint.reachable || !addressed || lost) {
             schedule(order_timeout, [send_reply] { send_reply({}); });
             return;
         }
         order_reply reply{order_status::done, endpoint_clock()};
-        if (token < endpoint.token) {
+        if (endpoint.replaced) {
+            reply.status = order_status::other_incarnation;
+        } else if (token < endpoint.token) {
             reply.status = order_status::fenced;
         } else {
             endpoint.token = token;
@@ -370,8 +423,9 @@
                        cluster::fencing_token token,
                        const cluster::renew_order& order, bool) {
     std::string id = to.id;
+    bool addressed = !to.address.empty();
     std::uint64_t term = m_term;
-    schedule(wire_delay, [this, id, token, order, term] {
+    schedule(wire_delay, [this, id, token, order, addressed, term] {
         fake_endpoint& endpoint = m_endpoints.at(id);
         auto fail = [this, id, term](order_status status) {
             if (m_term == term && m_leader) {
@@ -380,11 +434,16 @@
                 m_leader->on_renewed(id, out, m_now);
             }
         };
-        if (!endpoint.reachable || chance(m_faults.lost_reply)) {
+        if (!endpoint.reachable || !addressed || chance(m_faults.lost_reply)) {
             schedule(order_timeout + order.wait,
                      [fail] { fail(order_status::unreachable); });
             return;
         }
+        if (endpoint.replaced) {
+            schedule(wire_delay,
+                     [fail] { fail(order_status::other_incarnation); });
+            return;
+        }
         if (token < endpoint.token) {
             schedule(wire_delay, [fail] { fail(order_status::fenced); });
             return;
@@ -397,7 +456,11 @@
                          instant(std::min(*order.lease_until, longest)));
         }
         std::erase_if(endpoint.completions, [&](const auto& end) {
-            return end.sequence <= order.completions_recorded;
+            bool acknowledged = end.sequence <= order.completions_recorded;
+            if (acknowledged) {
+                check_acknowledgement(endpoint, end);
+            }
+            return acknowledged;
         });
         answer_renewal(id, token, order, m_now + order.wait);
     });
@@ -486,6 +549,9 @@
     }
     for (auto& [id, endpoint] : m_endpoints) {
         std::vector<std::pair<run_key, task_outcome>> completions;
+        if (endpoint.lease_until < m_now) {
+            endpoint.lease_lapsed_at = m_now;
+        }
         for (const auto& [key, run] : endpoint.runs) {
             if (endpoint.lease_until < m_now) {
                 completions.emplace_back(key, task_outcome::lapsed);
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -44,6 +44,8 @@
     cluster::endpoint_listing listing;
     bool reachable{true};
     bool registered{true};
+    /// Another incarnation answers at the address.
+    bool replaced{false};
     bool hangs{false};
     cluster::fencing_token token{0};
     std::map<cluster::run_key, run> runs;
@@ -53,6 +55,9 @@
     std::vector<cluster::finished_task> completions;
     std::uint64_t next_sequence{1};
     instant lease_until{};
+    instant lease_lapsed_at{}; ///< most recently
+    /// When the runs that have not been acknowledged ended as done.
+    std::map<std::uint64_t, instant> done_at;
 };
 
 class fake_fleet final : public cluster::scheduler_effects {
@@ -68,6 +73,15 @@
     void cancel(const std::string& id);
     /// Ends all runs on the endpoint and removes it from the registry.
     void remove_endpoint(const std::string& id);
+    /// Likewise, and another incarnation answers at its address.
+    void replace_endpoint(const std::string& id);
+    /// Removes the registry entry of an endpoint that goes on running, as if
+    /// it were cut off from the registry.
+    void unlist_endpoint(const std::string& id);
+    /// Puts the endpoint's registry entry back.
+    void list_endpoint(const std::string& id);
+    /// Lists the endpoint as draining. It goes on running.
+    void drain_endpoint(const std::string& id);
     void run_for(milliseconds time);
     /// Runs until every job has ended, at most for @p limit.
     /// @return whether every job has ended.
@@ -128,6 +142,7 @@
     struct stored_job {
         cluster::job_entry entry;
         std::optional<instant> ended_at;
+        std::map<workload::task_key, instant> last_start;
         /// Done tasks of each step, as seen by the endpoints.
         std::map<workload::step_key, std::set<int>> done;
         std::map<workload::task_key, std::set<int>> failed;
@@ -146,6 +161,10 @@
                         const cluster::renew_order& order, instant wait_until);
     void check_start(const fake_endpoint& endpoint,
                      const cluster::start_order& order);
+    /// Checks that no task was started again after an end that the leader
+    /// acknowledges.
+    void check_acknowledgement(const fake_endpoint& endpoint,
+                               const cluster::finished_task& end);
     void add_violation(const std::string& description);
     [[nodiscard]] cluster::endpoint_time endpoint_clock() const;
     [[nodiscard]] bool chance(double probability);
