Don't take the lapse of a draining endpoint's entry for its shutdown

Cause: check_lease gave up a draining endpoint whose registry entry went less than 2 s after last_reply_at. A new leader sets last_reply_at when it first meets the endpoint, without a reply. Even a real reply proves nothing: an endpoint that is cut off from the registry replies until the path to the leader breaks, too, and an outage of the store removes entries early. Change: the inference is gone. What shows that the runs of an endpoint have ended is its report, the reply of another incarnation at its address, or an expired lease. Why it works: the lease is measured on the endpoint's own clock, which no cut affects. Cost: tasks of an endpoint that leaves while they run wait for the rest of its lease, 6.2 s at most, unless a successor answers at its address.

--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -25,12 +25,6 @@
 /// endpoint that is eight times slower; twice that tolerates a failed renewal.
 constexpr base::milliseconds stall_limit{2500};
 
-/// Longest time between the last reply of an endpoint that shuts down and the
-/// removal of its registry entry. The entry of an endpoint that is cut off is
-/// removed after three missed heartbeats; this is the time of two, less a
-/// margin.
-constexpr base::milliseconds max_departure_silence{2000};
-
 /// Fractional parts of its multiples fill an interval evenly.
 constexpr double golden_ratio = std::numbers::phi;
 
@@ -431,21 +425,13 @@
     } else if (endpoint.failed_renewals > 0) {
         lease_expired = endpoint.lease_expiry() < now;
     }
-    // An endpoint that was draining and was unlisted soon after its last reply
-    // has shut down. An endpoint that is only cut off is unlisted seconds
-    // later, because of its missing heartbeats.
-    bool has_left =
-        endpoint.failed_renewals > 0 && !endpoint.listed &&
-        endpoint.listing.draining &&
-        endpoint.unlisted_at - endpoint.last_reply_at < max_departure_silence;
-    if (!lease_expired && !has_left && !missing) {
+    if (!lease_expired && !missing) {
         return;
     }
     if (!endpoint.runs.empty()) {
         drop_all_runs(endpoint,
-                      has_left  ? "endpoint has left"
-                      : missing ? "not registered again after an outage"
-                                : "lease expired",
+                      missing ? "not registered again after an outage"
+                              : "lease expired",
                       now);
     }
     endpoint.inventoried = false;
