Give up silent endpoints only when their leases have expired

Cause: took endpoints that were missing from the registry 3 s after an outage of the store for gone. The registry can't tell an endpoint that has ended from one that is cut off from it, and the calls of one VM that fail counted as an outage. Evidence: runs_lost why="not registered again after an outage" just before each of the starts; an_endpoint_cut_off_from_the_registry_* and a_completion_behind_a_cut_* failed with two concurrent runs and with acknowledged ends of restarted tasks. Change: the rule is gone. So that tasks that last don't stand idle instead, - a placement is recorded with the endpoint's address, and a new leader asks endpoints without a registry entry, too. One that lives goes on with its tasks; the reply of another incarnation frees them at once; - a leader whose term ends reports when all leases have expired that it and its predecessors granted, and its successor waits for that instead of for 12.2 s; - the last reply of an endpoint is unset until there is one. Why it works: a lease runs on the endpoint's own clock, its longest deadline is known to the one leader that granted it, and only the report of the directly preceding term is taken, whose bounds cover all earlier leaders. Tests: endpoints_lost_during_an_outage_of_the_store_are_given_up and endpoints_unlisted_after_an_outage_are_given_up asked for a restart 4 s after the election. That was wrong: nothing shows by then that the endpoint has ended, and the same sequence with a live endpoint runs tasks twice. They now ask for a restart within 9 s of the last run, the time after which the platform counts a task that lasts as lost, and a_successor_waits_for_the_leases_of_its_predecessor plays the same with a live endpoint. New: leases_of_earlier_leaders_are_passed_on_by_each, a_successor_does_not_wait_for_an_expired_lease_again, leases_of_an_older_term_are_ignored.

--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,7 +88,7 @@
     /// kept for urgent work. Only the places that can matter are told apart.
     std::size_t reserve_rank{0};
     std::uint64_t usable_in{0}; ///< latest placement pass that may use it
-    base::instant unlisted_at{};
+    std::optional<base::instant> unlisted_at;
     bool listed{false}; ///< the registry contains the endpoint
     /// The endpoint has reported its runs under this leader's token.
     bool inventoried{false};
@@ -104,6 +105,8 @@
     endpoint_time clock_reading{0};
     base::instant clock_read_at{};
     endpoint_time lease_deadline{0}; ///< latest deadline ever sent
+    /// When leases that earlier leaders granted have certainly expired.
+    base::instant earlier_leases_expiry{};
 
     // Orders and lease renewals.
     /// Counts orders sent and confirmations received.
@@ -112,8 +115,8 @@
     std::uint64_t renewal_sequence{0}; ///< of the latest renewal
     base::instant renewal_sent_at{};
     base::instant next_renewal{};
-    int failed_renewals{0}; ///< since the last reply
-    base::instant last_reply_at{};
+    int failed_renewals{0};                     ///< since the last reply
+    std::optional<base::instant> last_reply_at; ///< to this leader
     std::uint64_t completions_seen{0};     ///< highest sequence number applied
     std::uint64_t completions_recorded{0}; ///< highest sequence number stored
     std::deque<unrecorded_completion> unrecorded_completions;
@@ -135,4 +138,8 @@
     [[nodiscard]] base::instant lease_expiry() const;
 };
 
+/// @return how many milliseconds ago @p event was, or "never".
+[[nodiscard]] std::string
+describe_age(const std::optional<base::instant>& event, base::instant now);
+
 } // namespace eelgrasslever::cluster
--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -29,6 +29,7 @@
     /// being stopped. No further run is started while there is one.
     int live_runs{0};
     std::string endpoint; ///< of the active run
+    std::string address;  ///< of that endpoint; empty if not recorded
     std::string checkpoint;
     int failure_count{0};
     base::instant not_before{}; ///< earliest start after a failed run
@@ -138,7 +139,7 @@
     // State transitions. Each increases the version if the stored progress
     // must change.
     void mark_started();
-    void mark_active(const task_key& key, int run, const std::string& endpoint);
+    void mark_active(const task_key& key, const workload::placement& placed);
     void mark_waiting(const task_key& key);
     void mark_done(const task_key& key);
     /// Counts a failed run of the task or of its gang. A run that is reported
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -10,6 +10,7 @@
 #include "eelgrasslever/cluster/fit.hpp"
 #include "eelgrasslever/cluster/job_execution.hpp"
 #include "eelgrasslever/cluster/job_view.hpp"
+#include "eelgrasslever/cluster/lease_table.hpp"
 #include "eelgrasslever/cluster/placement_statistics.hpp"
 #include "eelgrasslever/cluster/service_shares.hpp"
 #include "eelgrasslever/cluster/step_queue.hpp"
@@ -39,21 +40,12 @@
     double urgent_headroom{0.15};
 };
 
-/// How long after an outage of the store entries of live endpoints may still be
-/// missing from the registry: 2 s by the platform's protocol, and one more
-/// until the leader has read them.
-inline constexpr base::milliseconds registry_settling_time{3000};
-
 /// The leadership term in which a scheduler gives orders.
 struct scheduler_term {
     fencing_token token{0};
     int run_base{0}; ///< runs of this term get higher numbers
     base::instant since{};
     std::chrono::sys_time<base::milliseconds> wall{}; ///< at `since`
-    /// Set if the term began after an outage of the store: by then, endpoints
-    /// whose entries lapsed during the outage have registered again if they are
-    /// alive.
-    std::optional<base::instant> registry_settled_at;
 };
 
 class scheduler {
@@ -71,6 +63,9 @@
     void on_recorded(const std::string& job, std::uint64_t version,
                      base::instant now);
     void on_record_failed(const std::string& job, base::instant now);
+    /// Shortens the wait for endpoints that this leader can't reach. Ignored
+    /// unless the table is that of the directly preceding term.
+    void on_predecessor_leases(const lease_table& leases, base::instant now);
     /// Sets the VMs that can make advice calls.
     void set_channels(const std::vector<std::string>& vms, base::instant now);
 
@@ -105,6 +100,9 @@
     [[nodiscard]] totals compute_totals(base::instant now) const;
     /// @return the counts since the previous call and the present state.
     [[nodiscard]] placement_statistics take_statistics(base::instant now);
+    /// @return when the leases of all endpoints end if no further orders are
+    /// sent.
+    [[nodiscard]] lease_table leases() const;
     [[nodiscard]] const std::map<std::string, endpoint_state, std::less<>>&
     endpoints() const {
         return m_endpoints;
@@ -190,9 +188,13 @@
     void acknowledge_recorded_completions(endpoint_state& endpoint,
                                           base::instant now);
     void check_lease(endpoint_state& endpoint, base::instant now);
-    /// @return whether the endpoint was lost during an outage of the store.
-    [[nodiscard]] bool is_missing_after_outage(const endpoint_state& endpoint,
-                                               base::instant now) const;
+    /// @return when the leases of all runs on the endpoint have certainly
+    /// expired.
+    [[nodiscard]] static base::instant
+    lease_expiry_of(const endpoint_state& endpoint);
+    [[nodiscard]] base::instant
+    earlier_leases_expiry_of(const std::string& endpoint) const;
+    void forget_terminated_endpoints(base::instant now);
     void renew_if_due(endpoint_state& endpoint, base::instant now);
     void stop_run(endpoint_state& endpoint, const run_key& key,
                   base::instant now);
@@ -326,6 +328,10 @@
     std::map<std::string, endpoint_state, std::less<>> m_endpoints;
     /// By `endpoint_state::number`; nullptr once the endpoint is forgotten.
     std::vector<endpoint_state*> m_endpoints_by_number;
+    /// Endpoints that were forgotten lately, and when. Stored placements may
+    /// still refer to them.
+    std::map<std::string, base::instant> m_forgotten_endpoints;
+    std::optional<lease_table> m_predecessor_leases;
     base::instant m_last_sweep_at{};
     step_queue m_ready; ///< steps with tasks that wait
 
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -134,6 +134,9 @@
     void on_accepted_job_notice(const wire::accepted_job_notice& notice);
     void on_completion_notice(const wire::completion_notice& notice);
     void send_completion_notice();
+    /// Reports the leases of this VM's latest term to the present leader.
+    void send_lease_report();
+    void on_lease_report(const wire::lease_report& report);
     /// Passes the current members to the router, the election and the
     /// scheduler.
     void update_members();
@@ -200,6 +203,10 @@
     bool m_tick_scheduled{false};
     bool m_is_draining{false};
 
+    /// Leases of this VM's latest term, and when that term ended.
+    std::optional<cluster::lease_table> m_former_leases;
+    base::instant m_led_until{};
+
     // State of the current leadership.
 
     /// Incremented when leadership is won or lost, so that replies to an
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -166,11 +166,22 @@
     std::vector<std::int32_t> states; ///< `states[i]` belongs to `ids[i]`
 };
 
+/// Tells a new leader when the leases end that the sender and its predecessors
+/// granted. The sender leads no longer and sends no orders.
+struct lease_report {
+    std::uint64_t term{0}; ///< in which the sender led
+    std::vector<std::string> endpoints;
+    /// `left[i]` is the time until the leases of `endpoints[i]` have certainly
+    /// expired; 0 or less if they have.
+    std::vector<base::milliseconds> left;
+    base::milliseconds others_left{0}; ///< likewise, of all other endpoints
+};
+
 using message =
     std::variant<heartbeat, holdings, document, locate_request, locate_response,
                  request_result, forward, cancel, advice_request,
                  advice_response, job_request, job_response,
-                 accepted_job_notice, completion_notice>;
+                 accepted_job_notice, completion_notice, lease_report>;
 
 /// A message and its sender ("VM@incarnation").
 struct envelope {
--- a/include/eelgrasslever/workload/progress.hpp
+++ b/include/eelgrasslever/workload/progress.hpp
@@ -25,6 +25,9 @@
 struct placement {
     int run{0};
     std::string endpoint;
+    /// "IP:port" of the endpoint, which lets a new leader ask it about the run
+    /// while its registry entry is missing; empty in older records.
+    std::string address;
     friend bool operator==(const placement&, const placement&) = default;
 };
 
--- a/src/cluster/endpoint_state.cpp
+++ b/src/cluster/endpoint_state.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+std::string describe_age(const std::optional<base::instant>& event,
+                         base::instant now) {
+    return event ? std::to_string((now - *event).count()) : "never";
+}
+
 void allocation::update_progress(int reported_percent, base::instant now) {
     if (reported_percent == percent) {
         return;
--- a/src/cluster/job_execution.cpp
+++ b/src/cluster/job_execution.cpp
@@ -93,6 +93,7 @@
         task.phase = task_phase::active;
         task.active_run = recorded->second.run;
         task.endpoint = recorded->second.endpoint;
+        task.address = recorded->second.address;
         step.waiting_count--;
     }
 }
@@ -158,18 +159,19 @@
     }
 }
 
-void job_execution::mark_active(const task_key& key, int run,
-                                const std::string& endpoint) {
+void job_execution::mark_active(const task_key& key,
+                                const workload::placement& placed) {
     step_execution* step = find_step(key.occurrence, key.step);
     task_execution* task = find_task(key);
     if (task->phase == task_phase::waiting) {
         step->waiting_count--;
     }
     task->phase = task_phase::active;
-    task->active_run = run;
-    task->highest_run = std::max(task->highest_run, run);
-    task->endpoint = endpoint;
-    m_progress.placements[task_name(key)] = {run, endpoint};
+    task->active_run = placed.run;
+    task->highest_run = std::max(task->highest_run, placed.run);
+    task->endpoint = placed.endpoint;
+    task->address = placed.address;
+    m_progress.placements[task_name(key)] = placed;
     m_version++;
 }
 
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -32,9 +32,6 @@
                            {{"token", std::to_string(m_term.token)}});
     }
     m_can_order = allowed.order;
-    if (m_term.registry_settled_at && !allowed.place) {
-        m_term.registry_settled_at = now + registry_settling_time;
-    }
     m_wall = wall;
     send_due_records(now);
     abandon_unrecorded_starts(now);
@@ -55,13 +52,7 @@
             check_lease(endpoint, now);
         }
     }
-    std::erase_if(m_endpoints, [&](const auto& row) {
-        bool forgotten = row.second.terminated && row.second.runs.empty();
-        if (forgotten) {
-            m_endpoints_by_number[row.second.number] = nullptr;
-        }
-        return forgotten;
-    });
+    forget_terminated_endpoints(now);
     for (auto& [id, job] : m_jobs) {
         if (sweep && job.execution->job().repeat_count > 0 &&
             !job.execution->has_ended() &&
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -25,6 +25,11 @@
 /// endpoint that is eight times slower; twice that tolerates a failed renewal.
 constexpr base::milliseconds stall_limit{2500};
 
+/// How long an endpoint that was forgotten is named to a successor. Placements
+/// of its runs are removed from the store once that is reachable, and a leader
+/// that does not reach it gives up long before.
+constexpr base::milliseconds forgotten_endpoint_retention{60'000};
+
 /// Fractional parts of its multiples fill an interval evenly.
 constexpr double golden_ratio = std::numbers::phi;
 
@@ -58,8 +63,8 @@
         m_endpoints_by_number.push_back(&endpoint);
         endpoint.reserve_order = std::fmod(endpoint.number * golden_ratio, 1.0);
         endpoint.next_renewal = now;
-        endpoint.last_reply_at = now;
         endpoint.clock_read_at = now;
+        endpoint.earlier_leases_expiry = earlier_leases_expiry_of(id);
     }
     return endpoint;
 }
@@ -172,6 +177,11 @@
         endpoint.has_clock_reading = true;
         endpoint.clock_reading = *reply.clock;
         endpoint.clock_read_at = now;
+        if (!endpoint.inventoried) {
+            // An earlier leader may have granted a full lease until now.
+            endpoint.lease_deadline = std::max(
+                endpoint.lease_deadline, *reply.clock + m_limits.max_lease);
+        }
     }
     for (const finished_task& completion : reply.finished) {
         process_completion(endpoint, completion, now);
@@ -353,7 +363,8 @@
         stop_run(endpoint, key, now);
         return;
     }
-    job->execution->mark_active(row.task, row.run, endpoint.listing.id);
+    job->execution->mark_active(
+        row.task, {row.run, endpoint.listing.id, endpoint.listing.address});
     job->execution->mark_started();
     schedule_record(*job, now);
 }
@@ -400,41 +411,85 @@
     }
 }
 
-// Only endpoints that have not answered this leader; one that has is given up
-// when its lease expires.
-bool scheduler::is_missing_after_outage(const endpoint_state& endpoint,
-                                        base::instant now) const {
-    return m_term.registry_settled_at && *m_term.registry_settled_at < now &&
-           !endpoint.listed && !endpoint.inventoried;
+// Once an endpoint has answered this leader, it refuses the orders of earlier
+// ones.
+base::instant scheduler::lease_expiry_of(const endpoint_state& endpoint) {
+    return endpoint.inventoried ? endpoint.lease_expiry()
+                                : endpoint.earlier_leases_expiry;
 }
 
-void scheduler::check_lease(endpoint_state& endpoint, base::instant now) {
-    if (endpoint.terminated) {
+// A previous leader that lost the store sends orders for at most
+// `authority_timeout`. Runs that it renewed last continue for one lease as
+// measured by a slow clock.
+base::instant
+scheduler::earlier_leases_expiry_of(const std::string& endpoint) const {
+    base::instant expiry = m_term.since + m_limits.authority_timeout +
+                           m_limits.max_lease * 103 / 100;
+    if (!m_predecessor_leases) {
+        return expiry;
+    }
+    auto known = m_predecessor_leases->expiries.find(endpoint);
+    return std::min(expiry, known == m_predecessor_leases->expiries.end()
+                                ? m_predecessor_leases->other_expiry
+                                : known->second);
+}
+
+void scheduler::on_predecessor_leases(const lease_table& leases,
+                                      base::instant now) {
+    if (leases.token + 1 != m_term.token || m_predecessor_leases) {
         return;
     }
-    bool missing = is_missing_after_outage(endpoint, now);
-    bool lease_expired = false;
-    if (!endpoint.inventoried) {
-        // A previous leader that lost the store sends orders for at most
-        // `authority_timeout`. Runs that it renewed last continue for one lease
-        // as measured by a slow clock.
-        auto bound =
-            m_limits.authority_timeout + m_limits.max_lease * 103 / 100;
-        lease_expired =
-            now - m_term.since > bound && now - endpoint.last_reply_at > bound;
-    } else if (endpoint.failed_renewals > 0) {
-        lease_expired = endpoint.lease_expiry() < now;
-    }
-    if (!lease_expired && !missing) {
+    observe::log_event("predecessor_leases",
+                       {{"token", std::to_string(leases.token)},
+                        {"endpoints", std::to_string(leases.expiries.size())},
+                        {"others_left_ms",
+                         std::to_string((leases.other_expiry - now).count())}});
+    m_predecessor_leases = leases;
+    for (auto& [id, endpoint] : m_endpoints) {
+        endpoint.earlier_leases_expiry = std::min(
+            endpoint.earlier_leases_expiry, earlier_leases_expiry_of(id));
+    }
+}
+
+lease_table scheduler::leases() const {
+    lease_table result;
+    result.token = m_term.token;
+    result.other_expiry = earlier_leases_expiry_of("");
+    for (const auto& [id, forgotten_at] : m_forgotten_endpoints) {
+        result.expiries[id] = forgotten_at;
+    }
+    for (const auto& [id, endpoint] : m_endpoints) {
+        result.expiries[id] = lease_expiry_of(endpoint);
+    }
+    return result;
+}
+
+void scheduler::forget_terminated_endpoints(base::instant now) {
+    std::erase_if(m_forgotten_endpoints, [&](const auto& row) {
+        return now - row.second > forgotten_endpoint_retention;
+    });
+    std::erase_if(m_endpoints, [&](const auto& row) {
+        bool forgotten = row.second.terminated && row.second.runs.empty();
+        if (forgotten) {
+            m_endpoints_by_number[row.second.number] = nullptr;
+            m_forgotten_endpoints[row.first] = now;
+        }
+        return forgotten;
+    });
+}
+
+void scheduler::check_lease(endpoint_state& endpoint, base::instant now) {
+    bool answers = endpoint.inventoried && endpoint.failed_renewals == 0;
+    if (endpoint.terminated || answers || lease_expiry_of(endpoint) >= now) {
         return;
     }
     if (!endpoint.runs.empty()) {
-        drop_all_runs(endpoint,
-                      missing ? "not registered again after an outage"
-                              : "lease expired",
-                      now);
+        drop_all_runs(endpoint, "lease expired", now);
+    }
+    if (endpoint.inventoried) {
+        endpoint.earlier_leases_expiry = now;
+        endpoint.inventoried = false;
     }
-    endpoint.inventoried = false;
     if (!endpoint.listed) {
         endpoint.terminated = true;
         m_health.forget(endpoint.listing.id);
@@ -443,9 +498,6 @@
 
 void scheduler::drop_all_runs(endpoint_state& endpoint, const char* why,
                               base::instant now) {
-    auto ms_since = [now](base::instant then) {
-        return std::to_string((now - then).count());
-    };
     observe::log_event(
         "runs_lost",
         {{"endpoint", endpoint.listing.id},
@@ -453,13 +505,11 @@
          {"why", why},
          {"token", std::to_string(m_term.token)},
          {"inventoried", endpoint.inventoried ? "1" : "0"},
-         {"seen_ms_ago", ms_since(endpoint.last_reply_at)},
+         {"seen_ms_ago", describe_age(endpoint.last_reply_at, now)},
          {"unlisted_ms_ago",
-          endpoint.listed ? "listed" : ms_since(endpoint.unlisted_at)},
+          endpoint.listed ? "listed" : describe_age(endpoint.unlisted_at, now)},
          {"lease_left_ms",
-          endpoint.has_clock_reading
-              ? std::to_string((endpoint.lease_expiry() - now).count())
-              : "unknown"}});
+          std::to_string((lease_expiry_of(endpoint) - now).count())}});
     auto lost = std::move(endpoint.runs);
     endpoint.runs.clear();
     endpoint.used = {};
@@ -579,8 +629,7 @@
          {"token", std::to_string(m_term.token)},
          {"why", to_string(reply.status)},
          {"placed_ms_ago", std::to_string((now - run.started_at).count())},
-         {"seen_ms_ago",
-          std::to_string((now - endpoint.last_reply_at).count())}});
+         {"seen_ms_ago", describe_age(endpoint.last_reply_at, now)}});
     if (!is_definite_rejection(reply.status)) {
         if (run.phase == allocation_phase::starting) {
             run.phase = allocation_phase::uncertain;
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -77,6 +77,9 @@
                     continue;
                 }
                 endpoint_state& endpoint = add_endpoint(task.endpoint, now);
+                if (endpoint.listing.address.empty()) {
+                    endpoint.listing.address = task.address;
+                }
                 allocation run;
                 run.number = task.active_run;
                 run.need = spec.steps[s].need;
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -499,9 +499,9 @@
          {"token", std::to_string(m_term.token)},
          {"waited_ms", std::to_string((now - step->unlocked_at).count())},
          {"free_cpu", std::to_string(endpoint.free_resources().cpu_milli)},
-         {"seen_ms_ago",
-          std::to_string((now - endpoint.last_reply_at).count())}});
-    job.execution->mark_active(key, run, endpoint.listing.id);
+         {"seen_ms_ago", describe_age(endpoint.last_reply_at, now)}});
+    job.execution->mark_active(
+        key, {run, endpoint.listing.id, endpoint.listing.address});
     schedule_record(job, now);
     job.unsent_starts.push_back(
         {endpoint.listing.id, {key, run}, job.execution->version(), now});
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -17,9 +17,6 @@
 /// Longest interval between two scheduler passes. It bounds how late a timeout
 /// is detected.
 constexpr base::milliseconds max_tick_interval{50};
-/// An outage of the store that ended less than this before an election may have
-/// removed entries of live endpoints from the registry.
-constexpr base::milliseconds recent_outage{3000};
 constexpr base::milliseconds maintenance_interval{1000};
 /// A VM with an older view of the store is not ready, so that clients are sent
 /// to other VMs. The limit exceeds the duration of a watch (1 s) by more than a
@@ -98,6 +95,7 @@
                           [this] {
                               remove_expired_jobs();
                               evaluate_handover();
+                              send_lease_report();
                               log_leader_summary();
                           }),
       m_completion_timer(owner, [this] { send_completion_notice(); }) {
@@ -191,6 +189,7 @@
     if (change.key == cluster::keys::leader ||
         change.key == cluster::keys::term) {
         m_election->on_change(change);
+        send_lease_report();
         return;
     }
     if (change.key.starts_with(cluster::keys::member)) {
@@ -303,12 +302,12 @@
     term.run_base = static_cast<int>(m_leadership->term - 1) * runs_per_term;
     term.since = now;
     term.wall = base::wall_now();
-    if (now - m_store.recovered_at() < recent_outage) {
-        term.registry_settled_at = now + cluster::registry_settling_time;
-    }
     m_progress_revisions.clear();
     m_scheduler =
         std::make_unique<cluster::scheduler>(*this, m_options.limits, term);
+    if (m_former_leases) {
+        m_scheduler->on_predecessor_leases(*m_former_leases, now);
+    }
     update_members();
     m_cluster_watcher->set_batch_delay(leader_batch_delay);
     for (const auto& [id, listing] : m_endpoint_listings) {
@@ -339,6 +338,10 @@
     if (m_progress_committer) {
         m_progress_committer->stop();
     }
+    if (m_scheduler) {
+        m_former_leases = m_scheduler->leases();
+        m_led_until = base::monotonic_now();
+    }
     // This may be called from within the scheduler, so its destruction is
     // deferred.
     auto previous = std::make_shared<std::unique_ptr<cluster::scheduler>>(
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -10,6 +10,15 @@
 
 namespace eelgrasslever::service {
 
+namespace {
+
+/// How long a former leader reports its leases. By then all of them have
+/// expired: one lease, and the time for which an earlier leader may have gone
+/// on.
+constexpr base::milliseconds lease_report_period{13'000};
+
+} // namespace
+
 void cluster_service::on_member_change(const coordination::key_value& change) {
     std::string vm =
         change.key.substr(std::string(cluster::keys::member).size());
@@ -92,6 +101,41 @@
     }
 }
 
+// Repeated by the maintenance timer, as a report may be lost.
+void cluster_service::send_lease_report() {
+    auto now = base::monotonic_now();
+    const std::string& leader = m_election->leader();
+    const member* successor =
+        m_members.find(leader.substr(0, leader.find('@')));
+    if (!m_former_leases || m_scheduler || m_leadership ||
+        successor == nullptr || now - m_led_until > lease_report_period) {
+        return;
+    }
+    wire::lease_report report;
+    report.term = m_former_leases->token;
+    report.others_left = m_former_leases->other_expiry - now;
+    for (const auto& [endpoint, expiry] : m_former_leases->expiries) {
+        report.endpoints.push_back(endpoint);
+        report.left.push_back(expiry - now);
+    }
+    send_to_peer(successor->peer_address, std::move(report));
+}
+
+void cluster_service::on_lease_report(const wire::lease_report& report) {
+    if (!m_scheduler) {
+        return;
+    }
+    auto now = base::monotonic_now();
+    cluster::lease_table leases;
+    leases.token = report.term;
+    leases.other_expiry = now + report.others_left;
+    std::size_t rows = std::min(report.endpoints.size(), report.left.size());
+    for (std::size_t i = 0; i < rows; ++i) {
+        leases.expiries[report.endpoints[i]] = now + report.left[i];
+    }
+    m_scheduler->on_predecessor_leases(leases, now);
+}
+
 void cluster_service::update_members() {
     auto now = base::monotonic_now();
     m_router->set_peers(m_members.peer_addresses());
@@ -136,6 +180,11 @@
         on_completion_notice(*completion);
         return;
     }
+    if (const auto* lease_report =
+            std::get_if<wire::lease_report>(&message.content)) {
+        on_lease_report(*lease_report);
+        return;
+    }
     if (const auto* forwarded_request =
             std::get_if<wire::job_request>(&message.content)) {
         m_router->on_request(message.from, *forwarded_request);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -134,6 +134,18 @@
     return {schema::Content_CompletionNotice, out.Union()};
 }
 
+packed pack(FlatBufferBuilder& to, const lease_report& in) {
+    std::vector<std::int64_t> left_ms;
+    for (base::milliseconds left : in.left) {
+        left_ms.push_back(left.count());
+    }
+    auto endpoints = to.CreateVectorOfStrings(in.endpoints);
+    auto left = to.CreateVector(left_ms);
+    auto out = schema::CreateLeaseReport(to, in.term, endpoints, left,
+                                         in.others_left.count());
+    return {schema::Content_LeaseReport, out.Union()};
+}
+
 std::string text(const flatbuffers::String* in) {
     return in == nullptr ? std::string() : in->str();
 }
@@ -285,6 +297,19 @@
         }
         return out;
     }
+    case schema::Content_LeaseReport: {
+        const auto* from = in.content_as_LeaseReport();
+        lease_report out;
+        out.term = from->term();
+        out.endpoints = texts(from->endpoints());
+        out.others_left = base::milliseconds(from->others_left_ms());
+        if (from->left_ms() != nullptr) {
+            for (std::int64_t left : *from->left_ms()) {
+                out.left.emplace_back(left);
+            }
+        }
+        return out;
+    }
     case schema::Content_NONE:
         return std::nullopt;
     }
--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -159,7 +159,8 @@
     out.failed_runs = in.value("failures", out.failed_runs);
     for (const json& row : in.value("placements", json::array())) {
         out.placements[row.at(0).get<std::string>()] = {
-            row.at(1).get<int>(), row.at(2).get<std::string>()};
+            row.at(1).get<int>(), row.at(2).get<std::string>(),
+            row.size() > 3 ? row.at(3).get<std::string>() : std::string()};
     }
     return out;
 }
@@ -223,7 +224,8 @@
     }
     json placements = json::array();
     for (const auto& [task, placed] : value.placements) {
-        placements.push_back({task, placed.run, placed.endpoint});
+        placements.push_back(
+            {task, placed.run, placed.endpoint, placed.address});
     }
     if (!placements.empty()) {
         out["placements"] = std::move(placements);
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -19,6 +19,10 @@
     }
 }
 
+void run_until(fake_fleet& fleet, base::instant end) {
+    fleet.run_for(end - fleet.now());
+}
+
 base::resources cores(std::int64_t count) {
     base::resources out;
     out.cpu_milli = count * 1000;
@@ -170,24 +174,23 @@
     expect_no_violations(fleet);
 }
 
-// Endpoints were replaced while the store was away. The new leader waited 12 s
-// for the leases of endpoints that had left, and tasks that last stood idle.
+// Endpoints left while the store was away. The new leader waited 12 s for their
+// leases, and tasks that last stood idle for longer than 9 s.
 BOOST_AUTO_TEST_CASE(
     endpoints_lost_during_an_outage_of_the_store_are_given_up) {
     fake_fleet fleet(14, {});
+    fleet.passes_leases_on = true;
     fleet.add_endpoint("e1", cores(4));
     fleet.add_endpoint("e2", cores(4));
     fleet.elect_leader();
     fleet.task_duration = [](const auto&) { return 100 * second; };
     fleet.submit(make_job("a", 8, 1000));
     fleet.run_for(second);
+    auto lost_at = fleet.now();
     fleet.remove_endpoint("e1");
     fleet.add_endpoint("e3", cores(4));
-    fleet.store_has_recovered = true;
     fleet.elect_leader(second);
-    fleet.run_for(2 * second);
-    BOOST_TEST(fleet.starts() == 8u);
-    fleet.run_for(2 * second);
+    run_until(fleet, lost_at + 9 * second);
     BOOST_TEST(fleet.starts() == 12u);
     expect_no_violations(fleet);
 }
@@ -196,24 +199,108 @@
 // some time, and then waited as long as if it had never heard of the outage.
 BOOST_AUTO_TEST_CASE(endpoints_unlisted_after_an_outage_are_given_up) {
     fake_fleet fleet(15, {});
+    fleet.passes_leases_on = true;
     fleet.add_endpoint("e1", cores(4));
     fleet.add_endpoint("e2", cores(4));
     fleet.elect_leader();
     fleet.task_duration = [](const auto&) { return 100 * second; };
     fleet.submit(make_job("a", 8, 1000));
     fleet.run_for(second);
+    auto lost_at = fleet.now();
     fleet.endpoint("e1").reachable = false;
     fleet.add_endpoint("e3", cores(4));
-    fleet.store_has_recovered = true;
     fleet.elect_leader(second);
     fleet.run_for(2 * second);
     fleet.remove_endpoint("e1");
     BOOST_TEST(fleet.starts() == 8u);
-    fleet.run_for(2 * second);
+    run_until(fleet, lost_at + 9 * second);
     BOOST_TEST(fleet.starts() == 12u);
     expect_no_violations(fleet);
 }
 
+// The leases that the former leader granted bound the wait, and no less: the
+// endpoint lives behind a cut, and its tasks run until its lease expires.
+BOOST_AUTO_TEST_CASE(a_successor_waits_for_the_leases_of_its_predecessor) {
+    fake_fleet fleet(25, {});
+    fleet.passes_leases_on = true;
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(3 * second);
+    auto cut_at = fleet.now();
+    fleet.add_endpoint("e2", cores(4));
+    fleet.endpoint("e1").reachable = false;
+    fleet.elect_leader(second);
+    run_until(fleet, cut_at + 9 * second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
+// Two leaders in a row that don't reach the endpoint: the second one has
+// granted no lease there, but must not report that none is left.
+BOOST_AUTO_TEST_CASE(leases_of_earlier_leaders_are_passed_on_by_each) {
+    fake_fleet fleet(26, {});
+    fleet.passes_leases_on = true;
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(3 * second);
+    auto cut_at = fleet.now();
+    fleet.add_endpoint("e2", cores(4));
+    fleet.endpoint("e1").reachable = false;
+    fleet.elect_leader(second);
+    fleet.run_for(second);
+    fleet.elect_leader(second);
+    run_until(fleet, cut_at + 9 * second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
+// An endpoint whose lease had expired was forgotten, its tasks could not be
+// recorded as waiting while the store was away, and the next leader waited
+// 12 s more for it.
+BOOST_AUTO_TEST_CASE(a_successor_does_not_wait_for_an_expired_lease_again) {
+    fake_fleet fleet(27, {});
+    fleet.passes_leases_on = true;
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.store_up = false;
+    fleet.remove_endpoint("e1");
+    fleet.run_for(7 * second);
+    fleet.store_up = true;
+    fleet.add_endpoint("e2", cores(4));
+    fleet.elect_leader(second);
+    fleet.run_for(second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
+// A report is only complete if no other leader came in between.
+BOOST_AUTO_TEST_CASE(leases_of_an_older_term_are_ignored) {
+    fake_fleet fleet(28, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    cluster::lease_table outdated = fleet.leader().leases();
+    outdated.expiries["e1"] = fleet.now();
+    fleet.elect_leader();
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(4));
+    fleet.endpoint("e1").reachable = false;
+    fleet.elect_leader();
+    fleet.leader().on_predecessor_leases(outdated, fleet.now());
+    fleet.run_for(5 * second);
+    BOOST_TEST(fleet.starts() == 4u);
+    expect_no_violations(fleet);
+}
+
 // A leader that never reached the endpoint took its own election for the
 // endpoint's last reply, and the lapse of the entry for a shutdown.
 BOOST_AUTO_TEST_CASE(
@@ -277,7 +364,6 @@
         fleet.add_endpoint("e2", cores(8));
         fleet.unlist_endpoint("e1");
         fleet.endpoint("e1").reachable = reachable;
-        fleet.store_has_recovered = true;
         fleet.elect_leader(1200 * millisecond);
         fleet.run_for(4500 * millisecond);
         BOOST_TEST(fleet.starts() == 4u);
@@ -303,7 +389,6 @@
     fleet.unlist_endpoint("e1");
     fleet.endpoint("e1").reachable = false;
     fleet.store_up = true;
-    fleet.store_has_recovered = true;
     fleet.elect_leader(1200 * millisecond);
     fleet.run_for(3300 * millisecond);
     fleet.endpoint("e1").reachable = true;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -122,6 +122,10 @@
 }
 
 void fake_fleet::elect_leader(milliseconds pause) {
+    std::optional<cluster::lease_table> former_leases;
+    if (m_leader && passes_leases_on) {
+        former_leases = m_leader->leases();
+    }
     m_leader.reset();
     m_term++;
     run_for(pause);
@@ -129,13 +133,13 @@
     term.token = m_term;
     term.run_base = static_cast<int>(m_term - 1) * runs_per_term;
     term.since = m_now;
-    if (store_has_recovered) {
-        term.registry_settled_at = m_now + cluster::registry_settling_time;
-    }
     cluster::scheduler_limits limits;
     limits.max_lease = max_lease;
     m_leader = std::make_unique<cluster::scheduler>(*this, limits, term);
     m_leader->set_channels(channels, m_now);
+    if (former_leases) {
+        m_leader->on_predecessor_leases(*former_leases, m_now);
+    }
     for (const auto& [id, endpoint] : m_endpoints) {
         if (endpoint.registered) {
             m_leader->on_listed(endpoint.listing, m_now);
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -114,8 +114,8 @@
     /// Whether a run fails, in addition to the share in `fleet_faults`.
     std::function<bool(const workload::task_key&)> fails;
     bool store_up{true};
-    /// Whether the next leaders are elected after an outage of the store.
-    bool store_has_recovered{false};
+    /// Whether a leader passes its leases on to its successor.
+    bool passes_leases_on{false};
     /// VMs that can make advice calls, from the next election on.
     std::vector<std::string> channels{"vm-1", "vm-2"};
     int max_violations{10};
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -57,6 +57,16 @@
         round_trip(forward{"r3", "{}", std::chrono::milliseconds(5), 4})
             .content);
     BOOST_TEST(work.echo == 4u);
+    auto leases = std::get<lease_report>(
+        round_trip(lease_report{7,
+                                {"e1"},
+                                {std::chrono::milliseconds(-20)},
+                                std::chrono::milliseconds(6100)})
+            .content);
+    BOOST_TEST(leases.term == 7u);
+    BOOST_TEST((leases.endpoints == std::vector<std::string>{"e1"}));
+    BOOST_TEST(leases.left.at(0).count() == -20);
+    BOOST_TEST(leases.others_left.count() == 6100);
 }
 
 BOOST_AUTO_TEST_CASE(an_oversize_frame_is_rejected_by_its_header) {
