--- a/include/eelgrasslever/http/message.hpp
+++ b/include/eelgrasslever/http/message.hpp
@@ -40,6 +40,9 @@
     /// If not reached: no connection was established, so the server cannot have
     /// processed the request.
     bool nothing_sent{false};
+    /// The request was sent again because a reused connection broke. The server
+    /// may have processed it the first time, whatever the response says.
+    bool repeated{false};
     int status{0};
     std::string body;
     std::string failure; ///< transport error message if not reached
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -54,6 +54,18 @@
     return size * count;
 }
 
+// libcurl calls this before it sends a request, also if it sends the request
+// again because a reused connection has broken.
+int note_request(void* context, char*, char*, int, int) {
+    auto& pending = *static_cast<transfer*>(context);
+    long earlier_bytes = 0;
+    curl_easy_getinfo(pending.easy, CURLINFO_REQUEST_SIZE, &earlier_bytes);
+    if (earlier_bytes > 0) {
+        pending.result.repeated = true;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 void store_result(transfer& pending, CURLcode code) {
     pending.result.reached = code == CURLE_OK;
 
@@ -87,6 +99,8 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &pending.result.body);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &note_request);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &pending);
     if (request.fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     }
