Simulate slow clocks, late orders of all kinds and former leaders that go on

The simulated endpoints may have a clock that is 2% slow, orders of all kinds may be carried out up to 12 s late, and a former leader that is cut off from the store may go on ordering for 6 s beside its successor, also on endpoints that only it reaches. An endpoint that is removed breaks the gangs of its runs. What was simulated before stays the default.

--- /dev/null
+++ b/tests/cluster/single_run_test.cpp
@@ -0,0 +1,94 @@
+// A task is not started while an earlier run of it may be alive, or may have
+// ended with a completion that is acknowledged later.
+#include "fake_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrasslever;
+using test::fake_fleet;
+using test::make_job;
+
+namespace {
+
+constexpr base::milliseconds second{1000};
+
+base::resources cores(std::int64_t count) {
+    base::resources out;
+    out.cpu_milli = count * 1000;
+    out.memory_mb = 64'000;
+    return out;
+}
+
+void expect_no_violations(const fake_fleet& fleet) {
+    for (const std::string& violation : fleet.violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(single_run)
+
+// A former leader that is cut off from the store goes on renewing the lease of
+// an endpoint that its successors can't reach.
+BOOST_AUTO_TEST_CASE(a_lease_that_a_former_leader_renews_is_waited_for) {
+    for (int successors = 1; successors <= 2; ++successors) {
+        fake_fleet fleet(2, {});
+        fleet.task_duration = [](const auto&) { return 30 * second; };
+        fleet.add_endpoint("e1", cores(4)).clock_percent = 98;
+        fleet.elect_leader();
+        fleet.submit(make_job("a", 4, 1000));
+        fleet.run_for(second);
+        fleet.add_endpoint("e2", cores(4));
+        fleet.endpoint("e1").cut_off_from = {2, 3};
+        fleet.supersede_leader();
+        if (successors == 2) {
+            fleet.run_for(second);
+            fleet.elect_leader();
+        }
+        fleet.run_for(20 * second);
+        BOOST_TEST(fleet.starts() == 8u);
+        expect_no_violations(fleet);
+    }
+}
+
+// The same for two former leaders in a row, of which the second one reaches the
+// endpoint until the last moment.
+BOOST_AUTO_TEST_CASE(
+    a_lease_that_the_last_but_one_leader_renews_is_waited_for) {
+    fake_fleet fleet(3, {});
+    fleet.task_duration = [](const auto&) { return 20 * second; };
+    fleet.add_endpoint("e1", cores(4)).clock_percent = 98;
+    fleet.elect_leader();
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(4));
+    fleet.endpoint("e1").cut_off_from = {3};
+    fleet.supersede_leader();
+    fleet.run_for(3 * second);
+    fleet.supersede_leader();
+    fleet.run_for(25 * second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
+// An endpoint with a slow clock falls silent at any time of its renewals.
+BOOST_AUTO_TEST_CASE(
+    the_lease_of_a_silent_endpoint_with_a_slow_clock_is_waited_for) {
+    for (int offset = 0; offset < 1200; offset += 50) {
+        fake_fleet fleet(4, {});
+        fleet.task_duration = [](const auto&) { return 30 * second; };
+        fleet.add_endpoint("e1", cores(4)).clock_percent = 98;
+        fleet.run_for(60 * second);
+        fleet.elect_leader();
+        fleet.submit(make_job("a", 4, 1000));
+        fleet.run_for(second + base::milliseconds(offset));
+        fleet.add_endpoint("e2", cores(4));
+        fleet.endpoint("e1").reachable = false;
+        fleet.run_for(10 * second);
+        BOOST_TEST(fleet.starts() == 8u);
+        expect_no_violations(fleet);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fake_fleet.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrasslever::test {
 
@@ -17,7 +18,9 @@
 constexpr milliseconds wire_delay{1};
 constexpr milliseconds order_timeout{800};
 constexpr milliseconds max_lease{6000};
+constexpr milliseconds authority_timeout{6000};
 constexpr milliseconds late_order_delay{2000};
+constexpr milliseconds max_late_order_delay{12'000};
 constexpr milliseconds advice_delay{20};
 constexpr int runs_per_term = 10'000;
 constexpr milliseconds gang_timeout{3000};
@@ -64,8 +67,11 @@
     }
 }
 
-cluster::endpoint_time fake_fleet::endpoint_clock() const {
-    return m_now.time_since_epoch();
+cluster::endpoint_time
+fake_fleet::clock_of(const fake_endpoint& endpoint) const {
+    auto elapsed = m_now - endpoint.clock_set_at;
+    return (endpoint.clock_set_at + elapsed * endpoint.clock_percent / 100)
+        .time_since_epoch();
 }
 
 void fake_fleet::schedule(milliseconds delay, std::function<void()> action) {
@@ -75,6 +81,7 @@
 fake_endpoint& fake_fleet::add_endpoint(const std::string& id,
                                         base::resources capacity) {
     fake_endpoint& endpoint = m_endpoints[id];
+    endpoint.clock_set_at = m_now;
     endpoint.listing.id = id;
     endpoint.listing.service = "s";
     endpoint.listing.address = id;
@@ -88,11 +95,14 @@
     fake_endpoint& endpoint = m_endpoints.at(id);
     endpoint.reachable = false;
     endpoint.registered = false;
-    endpoint.runs.clear();
-    endpoint.completions.clear();
-    if (m_leader) {
-        m_leader->on_unlisted(id, m_now);
+    endpoint.gone = true;
+    for (const auto& [key, run] : std::exchange(endpoint.runs, {})) {
+        if (step_spec(key.task).gang) {
+            finish_gang(key, task_outcome::gang_broken);
+        }
     }
+    endpoint.completions.clear();
+    tell(m_term, [&](auto& leader) { leader.on_unlisted(id, m_now); });
 }
 
 void fake_fleet::replace_endpoint(const std::string& id) {
@@ -103,17 +113,14 @@
 
 void fake_fleet::unlist_endpoint(const std::string& id) {
     m_endpoints.at(id).registered = false;
-    if (m_leader) {
-        m_leader->on_unlisted(id, m_now);
-    }
+    tell(m_term, [&](auto& leader) { leader.on_unlisted(id, m_now); });
 }
 
 void fake_fleet::list_endpoint(const std::string& id) {
     fake_endpoint& endpoint = m_endpoints.at(id);
     endpoint.registered = true;
-    if (m_leader) {
-        m_leader->on_listed(endpoint.listing, m_now);
-    }
+    tell(m_term,
+         [&](auto& leader) { leader.on_listed(endpoint.listing, m_now); });
 }
 
 void fake_fleet::drain_endpoint(const std::string& id) {
@@ -125,6 +132,17 @@
     m_leader.reset();
     m_term++;
     run_for(pause);
+    start_term();
+}
+
+void fake_fleet::supersede_leader(milliseconds pause) {
+    m_former = std::move(m_leader);
+    m_former_term = m_term;
+    m_former_authority_until = m_now + authority_timeout;
+    elect_leader(pause);
+}
+
+void fake_fleet::start_term() {
     cluster::scheduler_term term;
     term.token = m_term;
     term.run_base = static_cast<int>(m_term - 1) * runs_per_term;
@@ -134,32 +152,63 @@
     }
     cluster::scheduler_limits limits;
     limits.max_lease = max_lease;
+    limits.authority_timeout = authority_timeout;
     m_leader = std::make_unique<cluster::scheduler>(*this, limits, term);
-    m_leader->set_channels(channels, m_now);
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint.registered) {
-            m_leader->on_listed(endpoint.listing, m_now);
+    tell(m_term, [&](auto& leader) {
+        leader.set_channels(channels, m_now);
+        for (const auto& [id, endpoint] : m_endpoints) {
+            if (endpoint.registered) {
+                leader.on_listed(endpoint.listing, m_now);
+            }
         }
+        for (const auto& [id, job] : m_jobs) {
+            leader.on_job_accepted(job.entry, m_now);
+        }
+    });
+}
+
+void fake_fleet::tell(std::uint64_t term,
+                      const std::function<void(cluster::scheduler&)>& message) {
+    cluster::scheduler* receiver = nullptr;
+    if (term == m_term) {
+        receiver = m_leader.get();
+    } else if (term == m_former_term) {
+        receiver = m_former.get();
     }
-    for (const auto& [id, job] : m_jobs) {
-        m_leader->on_job_accepted(job.entry, m_now);
+    if (receiver != nullptr) {
+        auto outer = std::exchange(m_acting_term, term);
+        message(*receiver);
+        m_acting_term = outer;
     }
 }
 
+std::optional<milliseconds> fake_fleet::draw_lateness() {
+    if (!chance(m_faults.late_order)) {
+        return std::nullopt;
+    }
+    if (!m_faults.vary_late_orders) {
+        return late_order_delay;
+    }
+    std::uniform_int_distribution<int> delay(0, max_late_order_delay.count());
+    return milliseconds(delay(m_random));
+}
+
+bool fake_fleet::reaches(cluster::fencing_token leader,
+                         const fake_endpoint& endpoint) {
+    return endpoint.reachable && !endpoint.cut_off_from.contains(leader);
+}
+
 void fake_fleet::submit(workload::job job) {
     stored_job& stored = m_jobs[job.id];
     std::string id = job.id;
     stored.entry.job = std::make_shared<const workload::job>(std::move(job));
-    if (m_leader) {
-        m_leader->on_job_accepted(stored.entry, m_now);
-    }
+    tell(m_term,
+         [&](auto& leader) { leader.on_job_accepted(stored.entry, m_now); });
 }
 
 void fake_fleet::cancel(const std::string& id) {
     m_jobs.at(id).entry.cancel_requested = true;
-    if (m_leader) {
-        m_leader->on_cancel(id, m_now);
-    }
+    tell(m_term, [&](auto& leader) { leader.on_cancel(id, m_now); });
 }
 
 const workload::progress& fake_fleet::progress_of(const std::string& id) {
@@ -298,7 +347,7 @@
 order_reply fake_fleet::start_run(fake_endpoint& endpoint,
                                   cluster::fencing_token token,
                                   const cluster::start_order& order) {
-    order_reply out{order_status::done, endpoint_clock()};
+    order_reply out{order_status::done, clock_of(endpoint)};
     if (endpoint.replaced) {
         out.status = order_status::other_incarnation;
         return out;
@@ -308,7 +357,7 @@
         return out;
     }
     endpoint.token = token;
-    if (order.start_before < endpoint_clock()) {
+    if (order.start_before < clock_of(endpoint)) {
         out.status = order_status::too_late;
         return out;
     }
@@ -347,19 +396,20 @@
                        const cluster::start_order& order) {
     std::string id = to.id;
     bool addressed = !to.address.empty();
-    std::uint64_t term = m_term;
-    bool late = chance(m_faults.late_order);
+    auto lateness = draw_lateness();
     bool lost = chance(m_faults.lost_reply);
-    auto send_reply = [this, id, term, order](const order_reply& reply) {
-        if (m_term == term && m_leader) {
-            m_leader->on_started(id, order, reply, m_now);
-        }
+    auto send_reply = [this, id, token, order](const order_reply& reply) {
+        tell(token,
+             [&](auto& leader) { leader.on_started(id, order, reply, m_now); });
     };
-    schedule(late ? late_order_delay : wire_delay, [this, id, token, order,
-                                                    addressed, send_reply, late,
-                                                    lost] {
+    bool late = lateness.has_value();
+    schedule(lateness.value_or(wire_delay), [this, id, token, order, addressed,
+                                             send_reply, late, lost] {
         fake_endpoint& endpoint = m_endpoints.at(id);
-        if (!endpoint.reachable || !addressed) {
+        bool arrives = late && m_faults.vary_late_orders
+                           ? !endpoint.gone
+                           : reaches(token, endpoint);
+        if (!arrives || !addressed) {
             if (!late) {
                 schedule(order_timeout, [send_reply] { send_reply({}); });
             }
@@ -382,59 +432,87 @@
                       const cluster::stop_order& order) {
     std::string id = to.id;
     bool addressed = !to.address.empty();
-    std::uint64_t term = m_term;
-    bool lost = chance(m_faults.lost_reply);
-    auto send_reply = [this, id, term, order](const order_reply& reply) {
-        if (m_term == term && m_leader) {
-            m_leader->on_stopped(id, order, reply, m_now);
-        }
+    bool lost = chance(m_faults.lost_reply) || chance(m_faults.lost_stop);
+    auto lateness = m_faults.vary_late_orders ? draw_lateness() : std::nullopt;
+    auto send_reply = [this, id, token, order](const order_reply& reply) {
+        tell(token,
+             [&](auto& leader) { leader.on_stopped(id, order, reply, m_now); });
     };
+    if (lateness) {
+        schedule(order_timeout, [send_reply] { send_reply({}); });
+        schedule(*lateness, [this, id, token, order] {
+            fake_endpoint& endpoint = m_endpoints.at(id);
+            if (!endpoint.gone && token >= endpoint.token) {
+                carry_out_stop(endpoint, token, order);
+            }
+        });
+        return;
+    }
     schedule(wire_delay, [this, id, token, order, addressed, send_reply, lost] {
         fake_endpoint& endpoint = m_endpoints.at(id);
-        if (!endpoint.reachable || !addressed || lost) {
+        if (!reaches(token, endpoint) || !addressed || lost) {
             schedule(order_timeout, [send_reply] { send_reply({}); });
             return;
         }
-        order_reply reply{order_status::done, endpoint_clock()};
+        order_reply reply{order_status::done, clock_of(endpoint)};
         if (endpoint.replaced) {
             reply.status = order_status::other_incarnation;
         } else if (token < endpoint.token) {
             reply.status = order_status::fenced;
         } else {
-            endpoint.token = token;
-            int& highest_ended_run = endpoint.highest_ended_run[order.task];
-            highest_ended_run = std::max(highest_ended_run, order.run);
-            run_key key{order.task, order.run};
-            if (endpoint.runs.contains(key)) {
-                constexpr milliseconds stop_duration{60};
-                schedule(stop_duration, [this, id, key] {
-                    fake_endpoint& target = m_endpoints.at(id);
-                    if (target.runs.contains(key)) {
-                        finish_run(target, key, task_outcome::stopped);
-                    }
-                });
-            }
+            carry_out_stop(endpoint, token, order);
         }
         schedule(wire_delay, [send_reply, reply] { send_reply(reply); });
     });
 }
 
+void fake_fleet::carry_out_stop(fake_endpoint& endpoint,
+                                cluster::fencing_token token,
+                                const cluster::stop_order& order) {
+    endpoint.token = token;
+    int& highest_ended_run = endpoint.highest_ended_run[order.task];
+    highest_ended_run = std::max(highest_ended_run, order.run);
+    run_key key{order.task, order.run};
+    if (!endpoint.runs.contains(key)) {
+        return;
+    }
+    constexpr milliseconds stop_duration{60};
+    schedule(stop_duration, [this, id = endpoint.listing.id, key] {
+        fake_endpoint& target = m_endpoints.at(id);
+        if (target.runs.contains(key)) {
+            finish_run(target, key, task_outcome::stopped);
+        }
+    });
+}
+
 void fake_fleet::renew(const cluster::endpoint_listing& to,
                        cluster::fencing_token token,
                        const cluster::renew_order& order, bool) {
     std::string id = to.id;
     bool addressed = !to.address.empty();
-    std::uint64_t term = m_term;
-    schedule(wire_delay, [this, id, token, order, addressed, term] {
-        fake_endpoint& endpoint = m_endpoints.at(id);
-        auto fail = [this, id, term](order_status status) {
-            if (m_term == term && m_leader) {
-                cluster::renew_reply out;
-                out.status = status;
-                m_leader->on_renewed(id, out, m_now);
+    auto fail = [this, id, token](order_status status) {
+        tell(token, [&](auto& leader) {
+            cluster::renew_reply out;
+            out.status = status;
+            leader.on_renewed(id, out, m_now);
+        });
+    };
+    auto lateness = m_faults.vary_late_orders ? draw_lateness() : std::nullopt;
+    if (lateness) {
+        schedule(order_timeout + order.wait,
+                 [fail] { fail(order_status::unreachable); });
+        schedule(*lateness, [this, id, token, order] {
+            fake_endpoint& endpoint = m_endpoints.at(id);
+            if (!endpoint.gone && token >= endpoint.token) {
+                carry_out_renewal(endpoint, token, order);
             }
-        };
-        if (!endpoint.reachable || !addressed || chance(m_faults.lost_reply)) {
+        });
+        return;
+    }
+    schedule(wire_delay, [this, id, token, order, addressed, fail] {
+        fake_endpoint& endpoint = m_endpoints.at(id);
+        if (!reaches(token, endpoint) || !addressed ||
+            chance(m_faults.lost_reply)) {
             schedule(order_timeout + order.wait,
                      [fail] { fail(order_status::unreachable); });
             return;
@@ -448,40 +526,46 @@
             schedule(wire_delay, [fail] { fail(order_status::fenced); });
             return;
         }
-        endpoint.token = token;
-        if (order.lease_until) {
-            auto longest = endpoint_clock() + max_lease;
-            endpoint.lease_until =
-                std::max(endpoint.lease_until,
-                         instant(std::min(*order.lease_until, longest)));
-        }
-        std::erase_if(endpoint.completions, [&](const auto& end) {
-            bool acknowledged = end.sequence <= order.completions_recorded;
-            if (acknowledged) {
-                check_acknowledgement(endpoint, end);
-            }
-            return acknowledged;
-        });
+        carry_out_renewal(endpoint, token, order);
         answer_renewal(id, token, order, m_now + order.wait);
     });
 }
 
+void fake_fleet::carry_out_renewal(fake_endpoint& endpoint,
+                                   cluster::fencing_token token,
+                                   const cluster::renew_order& order) {
+    endpoint.token = token;
+    if (order.lease_until) {
+        auto longest = clock_of(endpoint) + max_lease;
+        endpoint.lease_until =
+            std::max(endpoint.lease_until,
+                     instant(std::min(*order.lease_until, longest)));
+    }
+    std::erase_if(endpoint.completions, [&](const auto& end) {
+        bool acknowledged = end.sequence <= order.completions_recorded;
+        if (acknowledged) {
+            check_acknowledgement(endpoint, end);
+        }
+        return acknowledged;
+    });
+}
+
 void fake_fleet::answer_renewal(const std::string& id,
                                 cluster::fencing_token token,
                                 const cluster::renew_order& order,
                                 instant wait_until) {
     fake_endpoint& endpoint = m_endpoints.at(id);
     if (endpoint.completions.empty() && m_now < wait_until &&
-        endpoint.reachable) {
+        reaches(token, endpoint)) {
         schedule(tick_length, [this, id, token, order, wait_until] {
             answer_renewal(id, token, order, wait_until);
         });
         return;
     }
     cluster::renew_reply out;
-    out.status =
-        endpoint.reachable ? order_status::done : order_status::unreachable;
-    out.clock = endpoint_clock();
+    out.status = reaches(token, endpoint) ? order_status::done
+                                          : order_status::unreachable;
+    out.clock = clock_of(endpoint);
     out.finished = endpoint.completions;
     for (const auto& [key, run] : endpoint.runs) {
         auto share = run.hangs ? 1
@@ -490,19 +574,14 @@
         out.running.push_back({key.task, key.run, "", static_cast<int>(share)});
     }
     schedule(wire_delay, [this, id, out, token] {
-        if (m_term == token && m_leader) {
-            m_leader->on_renewed(id, out, m_now);
-        }
+        tell(token, [&](auto& leader) { leader.on_renewed(id, out, m_now); });
     });
 }
 
 void fake_fleet::ask_advice(const std::string&,
                             const cluster::advice_call& call) {
-    std::uint64_t term = m_term;
+    std::uint64_t term = m_acting_term;
     schedule(advice_duration(call), [this, call, term] {
-        if (m_term != term || !m_leader) {
-            return;
-        }
         cluster::advice_reply out;
         out.answered = true;
         for (const std::string& id : call.candidates) {
@@ -510,19 +589,22 @@
                 out.admitted.emplace_back(id, "ticket");
             }
         }
-        m_leader->on_advice(call.query, out, m_now);
+        tell(term,
+             [&](auto& leader) { leader.on_advice(call.query, out, m_now); });
     });
 }
 
 void fake_fleet::record_progress(const std::string& id, std::uint64_t version,
                                  const std::string& progress, bool) {
-    std::uint64_t term = m_term;
+    std::uint64_t term = m_acting_term;
     schedule(m_faults.store_delay, [this, id, version, progress, term] {
-        if (m_term != term || !m_leader) {
+        // A former leader can't write.
+        if (!store_up || term != m_term) {
+            tell(term,
+                 [&](auto& leader) { leader.on_record_failed(id, m_now); });
             return;
         }
-        if (!store_up) {
-            m_leader->on_record_failed(id, m_now);
+        if (!m_leader) {
             return;
         }
         auto decoded = workload::decode_progress(progress, id);
@@ -531,7 +613,8 @@
             job.ended_at = m_now;
         }
         job.entry.progress = *decoded;
-        m_leader->on_recorded(id, version, m_now);
+        tell(term,
+             [&](auto& leader) { leader.on_recorded(id, version, m_now); });
     });
 }
 
@@ -549,11 +632,12 @@
     }
     for (auto& [id, endpoint] : m_endpoints) {
         std::vector<std::pair<run_key, task_outcome>> completions;
-        if (endpoint.lease_until < m_now) {
+        bool lapsed = endpoint.lease_until < instant(clock_of(endpoint));
+        if (lapsed) {
             endpoint.lease_lapsed_at = m_now;
         }
         for (const auto& [key, run] : endpoint.runs) {
-            if (endpoint.lease_until < m_now) {
+            if (lapsed) {
                 completions.emplace_back(key, task_outcome::lapsed);
             } else if (run.ends_at <= m_now && !run.hangs) {
                 task_outcome outcome =
@@ -569,9 +653,15 @@
             }
         }
     }
-    if (m_leader) {
-        m_leader->tick(m_now, {}, {});
+    tell(m_term, [&](auto& leader) {
+        leader.tick(m_now, {}, {.order = may_order, .place = may_order});
+    });
+    if (m_former && m_former_authority_until <= m_now) {
+        m_former.reset();
     }
+    tell(m_former_term, [&](auto& leader) {
+        leader.tick(m_now, {}, {.order = true, .place = false});
+    });
 }
 
 void fake_fleet::run_for(milliseconds time) {
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -26,6 +26,10 @@
     double lost_reply{0.0};
     /// Share of starts that are carried out seconds late and without a reply.
     double late_order{0.0};
+    /// Late orders take any time up to 12 s, and stops and renewals may be late
+    /// as well.
+    bool vary_late_orders{false};
+    double lost_stop{0.0};  ///< share of stops that never arrive
     double failed_run{0.0}; ///< share of runs that end as failed
     milliseconds store_delay{5};
 };
@@ -43,10 +47,16 @@
     };
     cluster::endpoint_listing listing;
     bool reachable{true};
+    /// Leaders that can't reach the endpoint, by their tokens.
+    std::set<cluster::fencing_token> cut_off_from;
     bool registered{true};
+    bool gone{false}; ///< its process has ended
     /// Another incarnation answers at the address.
     bool replaced{false};
     bool hangs{false};
+    /// Speed of the endpoint's clock; it may run 2% slow.
+    int clock_percent{100};
+    instant clock_set_at{}; ///< the clock shows this instant then
     cluster::fencing_token token{0};
     std::map<cluster::run_key, run> runs;
     /// Highest run number that was stopped or has ended. Starts up to this
@@ -54,7 +64,7 @@
     std::map<workload::task_key, int> highest_ended_run;
     std::vector<cluster::finished_task> completions;
     std::uint64_t next_sequence{1};
-    instant lease_until{};
+    instant lease_until{};     ///< on the endpoint's clock
     instant lease_lapsed_at{}; ///< most recently
     /// When the runs that have not been acknowledged ended as done.
     std::map<std::uint64_t, instant> done_at;
@@ -69,6 +79,9 @@
     /// Replaces the leader, as after the loss of a VM.
     /// @param pause how long there is no leader.
     void elect_leader(milliseconds pause = milliseconds(0));
+    /// Likewise, but the former leader is only cut off from the store and goes
+    /// on ordering for as long as it may.
+    void supersede_leader(milliseconds pause = milliseconds(0));
     void submit(workload::job job);
     void cancel(const std::string& id);
     /// Ends all runs on the endpoint and removes it from the registry.
@@ -92,6 +105,9 @@
         return m_violations;
     }
     [[nodiscard]] instant now() const { return m_now; }
+    [[nodiscard]] cluster::fencing_token term() const { return m_term; }
+    /// For changes during a test.
+    [[nodiscard]] fleet_faults& faults() { return m_faults; }
     [[nodiscard]] cluster::scheduler& leader() { return *m_leader; }
     [[nodiscard]] fake_endpoint& endpoint(const std::string& id) {
         return m_endpoints.at(id);
@@ -114,6 +130,8 @@
     /// Whether a run fails, in addition to the share in `fleet_faults`.
     std::function<bool(const workload::task_key&)> fails;
     bool store_up{true};
+    /// Whether the leader may send orders and place tasks.
+    bool may_order{true};
     /// Whether the next leaders are elected after an outage of the store.
     bool store_has_recovered{false};
     /// VMs that can make advice calls, from the next election on.
@@ -149,6 +167,19 @@
     };
     void schedule(milliseconds delay, std::function<void()> action);
     void advance();
+    void start_term();
+    /// Passes something to the leader of the term if that still acts.
+    void tell(std::uint64_t term,
+              const std::function<void(cluster::scheduler&)>& message);
+    /// @return how late an order is carried out that gets no reply, if it is.
+    std::optional<milliseconds> draw_lateness();
+    [[nodiscard]] static bool reaches(cluster::fencing_token leader,
+                                      const fake_endpoint& endpoint);
+    void carry_out_renewal(fake_endpoint& endpoint,
+                           cluster::fencing_token token,
+                           const cluster::renew_order& order);
+    void carry_out_stop(fake_endpoint& endpoint, cluster::fencing_token token,
+                        const cluster::stop_order& order);
     void finish_run(fake_endpoint& endpoint, const cluster::run_key& key,
                     cluster::task_outcome outcome);
     void start_gang(const cluster::run_key& member);
@@ -166,7 +197,8 @@
     void check_acknowledgement(const fake_endpoint& endpoint,
                                const cluster::finished_task& end);
     void add_violation(const std::string& description);
-    [[nodiscard]] cluster::endpoint_time endpoint_clock() const;
+    [[nodiscard]] cluster::endpoint_time
+    clock_of(const fake_endpoint& endpoint) const;
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] const workload::step&
     step_spec(const workload::task_key& key);
@@ -179,6 +211,11 @@
     std::map<std::string, stored_job> m_jobs;
     std::unique_ptr<cluster::scheduler> m_leader;
     std::uint64_t m_term{0};
+    /// A former leader that is cut off from the store.
+    std::unique_ptr<cluster::scheduler> m_former;
+    std::uint64_t m_former_term{0};
+    instant m_former_authority_until{};
+    std::uint64_t m_acting_term{0}; ///< of the leader that is being called
     std::size_t m_starts{0};
     std::map<std::string, instant> m_first_start;
     std::vector<std::string> m_violations;
