Don't take a run for lost while its completion may not be listed yet

Callers would see: tasks that are done are started again, elsewhere. Not seen on a deployment; found by reading and shown by the new test. Cause: an endpoint lists 500 completions at a time, the oldest that aren't acknowledged. A run whose completion comes after those is in neither list, and requeue_missing_runs took it for lost. Change: a reply with a full list says so (renew_reply::finished_truncated), and no run counts as missing by it. Why it works: once the listed completions are stored they are acknowledged, and the next reply lists the others. Test: completions_that_are_not_listed_yet_are_not_missing_runs.

--- a/include/eelgrasslever/cluster/orders.hpp
+++ b/include/eelgrasslever/cluster/orders.hpp
@@ -110,6 +110,8 @@
     std::optional<endpoint_time> clock;
     std::vector<running_task> running;
     std::vector<finished_task> finished;
+    /// The endpoint may have more completions than it lists at a time.
+    bool finished_truncated{false};
 };
 
 /// Asks the advice service which endpoints may run a step.
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -187,7 +187,11 @@
         running.insert({row.task, row.run});
         process_running_task(endpoint, row, now);
     }
-    requeue_missing_runs(endpoint, running, now);
+    // A run that is not listed may have ended with a completion that isn't
+    // listed yet.
+    if (!reply.finished_truncated) {
+        requeue_missing_runs(endpoint, running, now);
+    }
     endpoint.inventoried = true;
     acknowledge_recorded_completions(endpoint, now);
     endpoint.next_renewal = !endpoint.unrecorded_completions.empty() ||
--- a/tests/cluster/single_run_test.cpp
+++ b/tests/cluster/single_run_test.cpp
@@ -29,6 +29,34 @@
 
 BOOST_AUTO_TEST_SUITE(single_run)
 
+// An endpoint lists 500 completions at a time. A run whose completion came
+// after those was in neither list and counted as missing, so that its task was
+// started elsewhere although it was done.
+BOOST_AUTO_TEST_CASE(completions_that_are_not_listed_yet_are_not_missing_runs) {
+    test::fleet_faults slow_store;
+    slow_store.store_delay = base::milliseconds(200);
+    fake_fleet fleet(1, slow_store);
+    fleet.add_endpoint("e1", cores(64));
+    fleet.elect_leader();
+    fleet.submit(make_job("a", 500, 100));
+    fleet.submit(make_job("b", 140, 100));
+    fleet.run_for(base::milliseconds(500));
+    BOOST_TEST(fleet.endpoint("e1").runs.size() == 640u);
+    fleet.add_endpoint("e2", cores(64));
+    fleet.drain_endpoint("e1");
+    while (!fleet.endpoint("e1").runs.empty()) {
+        fleet.run_for(base::milliseconds(5));
+    }
+    fleet.run_for(base::milliseconds(200));
+    fleet.endpoint("e1").reachable = false;
+    fleet.run_for(second);
+    fleet.endpoint("e1").reachable = true;
+    BOOST_TEST(fleet.run_until_jobs_end(10 * second));
+    fleet.run_for(second);
+    BOOST_TEST(fleet.starts() == 640u);
+    expect_no_violations(fleet);
+}
+
 // A former leader that is cut off from the store goes on renewing the lease of
 // an endpoint that its successors can't reach.
 BOOST_AUTO_TEST_CASE(a_lease_that_a_former_leader_renews_is_waited_for) {
--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -144,6 +144,21 @@
 }
 
 // A partly decoded reply would look as if the remaining tasks no longer ran.
+// An endpoint lists 500 completions at a time. A run that was in neither list
+// was taken for lost although its completion was yet to come.
+BOOST_AUTO_TEST_CASE(a_full_list_of_completions_is_reported_as_truncated) {
+    for (int count : {499, 500}) {
+        auto ended = nlohmann::json::array();
+        for (int i = 1; i <= count; ++i) {
+            ended.push_back({i, "5c0e7a21d94b36f8.0.1.17", 1, "done", ""});
+        }
+        nlohmann::json body{{"clockMs", 1}, {"ended", std::move(ended)}};
+        auto reply = platform::decode_renew_reply(200, body.dump());
+        BOOST_TEST(reply.finished.size() == static_cast<std::size_t>(count));
+        BOOST_TEST(reply.finished_truncated == (count == 500));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(invalid_renew_reply_is_reported_as_unreachable) {
     for (const char* invalid : {R"({"running":7})", R"({"running":[[1,2]]})",
                                 R"({"ended":[["x"]]})"}) {
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds late_order_delay{2000};
 constexpr milliseconds max_late_order_delay{12'000};
 constexpr milliseconds advice_delay{20};
+constexpr std::size_t max_listed_completions = 500;
 constexpr int runs_per_term = 10'000;
 constexpr milliseconds gang_timeout{3000};
 
@@ -566,7 +567,11 @@
     out.status = reaches(token, endpoint) ? order_status::done
                                           : order_status::unreachable;
     out.clock = clock_of(endpoint);
-    out.finished = endpoint.completions;
+    auto listed = std::min(endpoint.completions.size(), max_listed_completions);
+    out.finished.assign(endpoint.completions.begin(),
+                        endpoint.completions.begin() +
+                            static_cast<std::ptrdiff_t>(listed));
+    out.finished_truncated = listed == max_listed_completions;
     for (const auto& [key, run] : endpoint.runs) {
         auto share = run.hangs ? 1
                                : 100 * (m_now - run.started_at) /
