--- a/tests/cluster/single_run_test.cpp
+++ b/tests/cluster/single_run_test.cpp
@@ -143,4 +143,29 @@
     }
 }
 
+// A leader whose term ended just after an endpoint had answered it for the
+// first time reported no lease there, and its successor started the tasks again
+// while the lease of the leader before them ran on.
+BOOST_AUTO_TEST_CASE(leases_of_an_endpoint_without_a_renewal_are_passed_on) {
+    fake_fleet fleet(6, {});
+    fleet.passes_leases_on = true;
+    fleet.task_duration = [](const auto&) { return 30 * second; };
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.submit(make_job("a", 4, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(4));
+    fleet.elect_leader();
+    fleet.run_for(base::milliseconds(5));
+    fleet.may_order = false;
+    fleet.run_for(base::milliseconds(10));
+    BOOST_TEST(fleet.leader().endpoints().at("e1").inventoried);
+    fleet.may_order = true;
+    fleet.endpoint("e1").reachable = false;
+    fleet.elect_leader();
+    fleet.run_for(10 * second);
+    BOOST_TEST(fleet.starts() == 8u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -4,6 +4,7 @@
 #include "message_codec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace eelgrasslever;
 using cluster::order_status;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -130,10 +130,14 @@
 }
 
 void fake_fleet::elect_leader(milliseconds pause) {
+    std::optional<cluster::lease_table> former_leases;
+    if (m_leader && passes_leases_on) {
+        former_leases = m_leader->leases();
+    }
     m_leader.reset();
     m_term++;
     run_for(pause);
-    start_term();
+    start_term(former_leases);
 }
 
 void fake_fleet::supersede_leader(milliseconds pause) {
@@ -143,20 +147,21 @@
     elect_leader(pause);
 }
 
-void fake_fleet::start_term() {
+void fake_fleet::start_term(
+    const std::optional<cluster::lease_table>& former_leases) {
     cluster::scheduler_term term;
     term.token = m_term;
     term.run_base = static_cast<int>(m_term - 1) * runs_per_term;
     term.since = m_now;
-    if (store_has_recovered) {
-        term.registry_settled_at = m_now + cluster::registry_settling_time;
-    }
     cluster::scheduler_limits limits;
     limits.max_lease = max_lease;
     limits.authority_timeout = authority_timeout;
     m_leader = std::make_unique<cluster::scheduler>(*this, limits, term);
     tell(m_term, [&](auto& leader) {
         leader.set_channels(channels, m_now);
+        if (former_leases) {
+            leader.on_predecessor_leases(*former_leases, m_now);
+        }
         for (const auto& [id, endpoint] : m_endpoints) {
             if (endpoint.registered) {
                 leader.on_listed(endpoint.listing, m_now);
@@ -662,6 +667,11 @@
         leader.tick(m_now, {}, {.order = may_order, .place = may_order});
     });
     if (m_former && m_former_authority_until <= m_now) {
+        if (passes_leases_on) {
+            tell(m_term, [&](auto& leader) {
+                leader.on_predecessor_leases(m_former->leases(), m_now);
+            });
+        }
         m_former.reset();
     }
     tell(m_former_term, [&](auto& leader) {
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -132,8 +132,8 @@
     bool store_up{true};
     /// Whether the leader may send orders and place tasks.
     bool may_order{true};
-    /// Whether the next leaders are elected after an outage of the store.
-    bool store_has_recovered{false};
+    /// Whether a leader passes its leases on to its successor.
+    bool passes_leases_on{false};
     /// VMs that can make advice calls, from the next election on.
     std::vector<std::string> channels{"vm-1", "vm-2"};
     int max_violations{10};
@@ -167,7 +167,7 @@
     };
     void schedule(milliseconds delay, std::function<void()> action);
     void advance();
-    void start_term();
+    void start_term(const std::optional<cluster::lease_table>& former_leases);
     /// Passes something to the leader of the term if that still acts.
     void tell(std::uint64_t term,
               const std::function<void(cluster::scheduler&)>& message);
