--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -168,6 +168,20 @@
     }
 }
 
+// A truncated reply, or one of another program at the endpoint's address,
+// counted as a report that nothing runs there, and all tasks were started
+// elsewhere.
+BOOST_AUTO_TEST_CASE(a_renew_reply_without_a_clock_reading_shows_nothing) {
+    for (const char* invalid :
+         {"", "{}", "[]", R"({"clockMs":4821,"running":[)",
+          R"({"running":[],"ended":[]})", "<html></html>"}) {
+        auto reply = platform::decode_renew_reply(200, invalid);
+        BOOST_TEST((reply.status == order_status::unreachable), invalid);
+    }
+    auto reply = platform::decode_renew_reply(200, R"({"clockMs":4821})");
+    BOOST_TEST((reply.status == order_status::done));
+}
+
 BOOST_AUTO_TEST_CASE(each_refusal_maps_to_its_status) {
     auto status = [](int code, const char* body) {
         return platform::decode_order_reply(code, body).status;
