--- a/tests/platform/repeated_request_test.cpp
+++ b/tests/platform/repeated_request_test.cpp
@@ -52,9 +52,33 @@
     }
 
   private:
+    // Headers and body may arrive separately.
+    static void receive_request(int connection) {
+        std::string request;
+        std::array<char, 4096> part{};
+        while (!is_complete(request)) {
+            auto size = recv(connection, part.data(), part.size(), 0);
+            if (size <= 0) {
+                return;
+            }
+            request.append(part.data(), static_cast<std::size_t>(size));
+        }
+    }
+
+    static bool is_complete(const std::string& request) {
+        const std::string length_field = "Content-Length: ";
+        auto body = request.find("\r\n\r\n");
+        auto length = request.find(length_field);
+        if (body == std::string::npos || length == std::string::npos) {
+            return false;
+        }
+        return request.size() >=
+               body + 4 +
+                   std::stoul(request.substr(length + length_field.size()));
+    }
+
     static void answer(int connection, const std::string& response) {
-        std::array<char, 4096> request{};
-        recv(connection, request.data(), request.size(), 0);
+        receive_request(connection);
         send(connection, response.data(), response.size(), MSG_NOSIGNAL);
     }
 
