Send lease reports to all VMs until the successor is known, and keep early ones

Callers would see: tasks of lost endpoints wait longer than they need to after a change of the leader. A term that was lost before its scheduler started broke the chain of reports, a report that came before that start was dropped, and of repeated reports only the first counted, however late it was read. Change: the report goes to all VMs while the view doesn't show another leader; a term without orders hands on its own predecessor's table; early reports are kept; each one is taken, as each is a bound. A leader also passes on rows of its predecessor's table. Random scenarios pass the leases on with every second seed.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -192,6 +192,10 @@
     /// expired.
     [[nodiscard]] static base::instant
     lease_expiry_of(const endpoint_state& endpoint);
+    /// @return when leases that earlier leaders granted on any endpoint have
+    /// certainly expired.
+    [[nodiscard]] base::instant earlier_leases_bound() const;
+    /// @return likewise, on one endpoint.
     [[nodiscard]] base::instant
     earlier_leases_expiry_of(const std::string& endpoint) const;
     void forget_terminated_endpoints(base::instant now);
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -134,7 +134,8 @@
     void on_accepted_job_notice(const wire::accepted_job_notice& notice);
     void on_completion_notice(const wire::completion_notice& notice);
     void send_completion_notice();
-    /// Reports the leases of this VM's latest term to the present leader.
+    /// Reports the leases of this VM's latest term to the present leader, or to
+    /// all VMs if the view does not show it yet.
     void send_lease_report();
     void on_lease_report(const wire::lease_report& report);
     /// Passes the current members to the router, the election and the
@@ -206,6 +207,8 @@
     /// Leases of this VM's latest term, and when that term ended.
     std::optional<cluster::lease_table> m_former_leases;
     base::instant m_led_until{};
+    /// A predecessor's leases, received before this VM's scheduler was started.
+    std::optional<cluster::lease_table> m_reported_leases;
 
     // State of the current leadership.
 
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -425,29 +425,40 @@
 // A previous leader that lost the store sends orders for at most
 // `authority_timeout`. Runs that it renewed last continue for one lease as
 // measured by a slow clock.
+base::instant scheduler::earlier_leases_bound() const {
+    base::instant bound = m_term.since + m_limits.authority_timeout +
+                          m_limits.max_lease * 103 / 100;
+    return m_predecessor_leases
+               ? std::min(bound, m_predecessor_leases->other_expiry)
+               : bound;
+}
+
 base::instant
 scheduler::earlier_leases_expiry_of(const std::string& endpoint) const {
-    base::instant expiry = m_term.since + m_limits.authority_timeout +
-                           m_limits.max_lease * 103 / 100;
-    if (!m_predecessor_leases) {
-        return expiry;
+    if (m_predecessor_leases) {
+        auto known = m_predecessor_leases->expiries.find(endpoint);
+        if (known != m_predecessor_leases->expiries.end()) {
+            return known->second;
+        }
     }
-    auto known = m_predecessor_leases->expiries.find(endpoint);
-    return std::min(expiry, known == m_predecessor_leases->expiries.end()
-                                ? m_predecessor_leases->other_expiry
-                                : known->second);
+    return earlier_leases_bound();
 }
 
+// Reports are repeated, and each one is a bound; one that was delayed less may
+// be tighter.
 void scheduler::on_predecessor_leases(const lease_table& leases,
                                       base::instant now) {
-    if (leases.token + 1 != m_term.token || m_predecessor_leases) {
+    if (leases.token + 1 != m_term.token) {
         return;
     }
-    observe::log_event("predecessor_leases",
-                       {{"token", std::to_string(leases.token)},
-                        {"endpoints", std::to_string(leases.expiries.size())},
-                        {"others_left_ms",
-                         std::to_string((leases.other_expiry - now).count())}});
+    if (!m_predecessor_leases) {
+        observe::log_event(
+            "predecessor_leases",
+            {{"token", std::to_string(leases.token)},
+             {"endpoints", std::to_string(leases.expiries.size())},
+             {"others_left_ms",
+              std::to_string((leases.other_expiry - now).count())}});
+    }
     m_predecessor_leases = leases;
     for (auto& [id, endpoint] : m_endpoints) {
         endpoint.earlier_leases_expiry = std::min(
@@ -458,7 +469,14 @@
 lease_table scheduler::leases() const {
     lease_table result;
     result.token = m_term.token;
-    result.other_expiry = earlier_leases_expiry_of("");
+    result.other_expiry = earlier_leases_bound();
+    if (m_predecessor_leases) {
+        for (const auto& [id, expiry] : m_predecessor_leases->expiries) {
+            if (m_last_sweep_at - expiry < forgotten_endpoint_retention) {
+                result.expiries[id] = expiry;
+            }
+        }
+    }
     for (const auto& [id, forgotten_at] : m_forgotten_endpoints) {
         result.expiries[id] = forgotten_at;
     }
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -305,9 +305,12 @@
     m_progress_revisions.clear();
     m_scheduler =
         std::make_unique<cluster::scheduler>(*this, m_options.limits, term);
-    if (m_former_leases) {
-        m_scheduler->on_predecessor_leases(*m_former_leases, now);
+    for (const auto& known : {m_former_leases, m_reported_leases}) {
+        if (known) {
+            m_scheduler->on_predecessor_leases(*known, now);
+        }
     }
+    m_reported_leases.reset();
     update_members();
     m_cluster_watcher->set_batch_delay(leader_batch_delay);
     for (const auto& [id, listing] : m_endpoint_listings) {
@@ -332,16 +335,21 @@
 
 void cluster_service::on_leadership_lost() {
     m_leadership_generation++;
+    if (m_scheduler) {
+        m_former_leases = m_scheduler->leases();
+        m_led_until = base::monotonic_now();
+    } else if (m_former_leases &&
+               m_former_leases->token + 1 == m_leadership->term) {
+        // No order was given in this term, so the table holds for it, too.
+        m_former_leases->token = m_leadership->term;
+        m_led_until = base::monotonic_now();
+    }
     m_leadership.reset();
     m_registry_watcher->stop();
     m_cluster_watcher->set_batch_delay(cluster_watcher_timing.batch_delay);
     if (m_progress_committer) {
         m_progress_committer->stop();
     }
-    if (m_scheduler) {
-        m_former_leases = m_scheduler->leases();
-        m_led_until = base::monotonic_now();
-    }
     // This may be called from within the scheduler, so its destruction is
     // deferred.
     auto previous = std::make_shared<std::unique_ptr<cluster::scheduler>>(
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -104,11 +104,8 @@
 // Repeated by the maintenance timer, as a report may be lost.
 void cluster_service::send_lease_report() {
     auto now = base::monotonic_now();
-    const std::string& leader = m_election->leader();
-    const member* successor =
-        m_members.find(leader.substr(0, leader.find('@')));
-    if (!m_former_leases || m_scheduler || m_leadership ||
-        successor == nullptr || now - m_led_until > lease_report_period) {
+    if (!m_former_leases || m_leadership ||
+        now - m_led_until > lease_report_period) {
         return;
     }
     wire::lease_report report;
@@ -118,11 +115,23 @@
         report.endpoints.push_back(endpoint);
         report.left.push_back(expiry - now);
     }
-    send_to_peer(successor->peer_address, std::move(report));
+    const std::string frame =
+        wire::encode({m_options.peer_address, std::move(report)});
+    const std::string& leader = m_election->leader();
+    const std::string successor = leader.substr(0, leader.find('@'));
+    // A VM that the store turns away still sees itself as the leader.
+    bool is_known =
+        m_members.find(successor) != nullptr && successor != m_options.vm;
+    for (const auto& [name, address] : m_members.peer_addresses()) {
+        if (!address.empty() && name != m_options.vm &&
+            (!is_known || name == successor)) {
+            m_peer_links->inbox().post(daemon::send_peer_frame{address, frame});
+        }
+    }
 }
 
 void cluster_service::on_lease_report(const wire::lease_report& report) {
-    if (!m_scheduler) {
+    if (!m_leadership) {
         return;
     }
     auto now = base::monotonic_now();
@@ -133,7 +142,11 @@
     for (std::size_t i = 0; i < rows; ++i) {
         leases.expiries[report.endpoints[i]] = now + report.left[i];
     }
-    m_scheduler->on_predecessor_leases(leases, now);
+    if (m_scheduler) {
+        m_scheduler->on_predecessor_leases(leases, now);
+    } else {
+        m_reported_leases = std::move(leases);
+    }
 }
 
 void cluster_service::update_members() {
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -20,7 +20,9 @@
 class random_scenario {
   public:
     explicit random_scenario(std::uint64_t seed)
-        : m_random(seed), m_fleet(seed, draw_faults()) {}
+        : m_random(seed), m_fleet(seed, draw_faults()) {
+        m_fleet.passes_leases_on = seed % 2 == 0;
+    }
 
     /// @return the violations that were found.
     std::vector<std::string> run() {
