--- a/tests/cluster/single_run_test.cpp
+++ b/tests/cluster/single_run_test.cpp
@@ -143,9 +143,9 @@
     }
 }
 
-// A leader whose term ended just after an endpoint had answered it for the
-// first time reported no lease there, and its successor started the tasks again
-// while the lease of the leader before them ran on.
+// A leader knows no lease of an endpoint that has just answered it for the
+// first time. If it passed that on, its successor would start the tasks again
+// while the lease of an earlier leader runs on.
 BOOST_AUTO_TEST_CASE(leases_of_an_endpoint_without_a_renewal_are_passed_on) {
     fake_fleet fleet(6, {});
     fleet.passes_leases_on = true;
