Start gangs that have free room, and let them ask about few new endpoints

Cause: (1) A gang asked about further endpoints only if 24 or more were unknown to it, and so stayed with 3 or 4 of 38, or with none after these had left. (2) The pause after a renewal grew by 4 s each time, without a limit and over starts. (3) In the pause a gang claimed nothing, and others took its room. A start ends the pause. Few further endpoints are asked about if they are expected to double the gang's choice, or if there is room to spare and its own fails to come. A gang that may not claim doesn't renew, as others take its room during the call. Why it works: room that is free is held during the call and used when it returns; the calls that are saved pay for the new ones.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -224,6 +224,9 @@
     /// @return how much work may wait for room at the same time, as a share of
     /// the fleet.
     [[nodiscard]] double window_size() const;
+    /// @return whether so much of the fleet is free that a step that fits must
+    /// start soon, even if that costs a call or leaves room idle for a while.
+    [[nodiscard]] bool has_spare_room() const;
     /// @return the share of the fleet that the waiting tasks need.
     [[nodiscard]] double waiting_share(const step_rank& rank) const;
     [[nodiscard]] step_rank make_rank(const tracked_job& job, int occurrence,
@@ -272,12 +275,32 @@
                              base::instant now);
     /// @return whether a channel is free for a step of this rank.
     [[nodiscard]] bool may_call(const step_rank& rank, base::instant now) const;
+    /// Where a gang could run among the endpoints that admit it.
+    struct gang_room {
+        std::vector<fit_candidate> admitted; ///< those of the claims first
+        int idle_slots{0}; ///< tasks that fit if nothing else runs
+        int free_slots{0}; ///< tasks that fit at present, at most all
+        /// Of the claimed slots, those on endpoints whose ticket is valid when
+        /// the room is complete.
+        int ticketed_slots{0};
+        /// The slots that are expected to be free first; empty unless all tasks
+        /// have one.
+        std::vector<room_claim> claims;
+        base::instant complete_at{}; ///< when all of them are free
+        bool expected_soon{false};   ///< and the gang need not look elsewhere
+    };
     /// Asks about further endpoints, and claims the room that the step is
     /// expected to use on them.
+    /// @param known where the step could run already, if it is a gang.
     /// @return whether a call was made.
     bool request_new_candidates(tracked_job& job, const step_rank& rank,
                                 step_execution& step, int missing,
-                                base::instant now);
+                                const gang_room& known, base::instant now);
+    /// @return whether a call about @p candidates, which do not admit the gang
+    /// yet, may improve its choice enough.
+    bool widens_choice(const tracked_job& job, const workload::step& spec,
+                       const std::vector<fit_candidate>& candidates,
+                       int missing, const gang_room& known);
     /// @param claims room that the step holds until the reply.
     /// @return whether the call was made.
     bool request_advice(tracked_job& job, const step_rank& rank,
@@ -300,19 +323,6 @@
     /// @param share of the fleet that a gang needs.
     /// @return how long the gang may take to gather its room.
     [[nodiscard]] static base::milliseconds gathering_time(double share);
-    /// Where a gang could run among the endpoints that admit it.
-    struct gang_room {
-        std::vector<fit_candidate> admitted; ///< those of the claims first
-        int idle_slots{0}; ///< tasks that fit if nothing else runs
-        int free_slots{0}; ///< tasks that fit at present, at most all
-        /// Of the claimed slots, those on endpoints whose ticket is valid when
-        /// the room is complete.
-        int ticketed_slots{0};
-        /// The slots that are expected to be free first; empty unless all tasks
-        /// have one.
-        std::vector<room_claim> claims;
-        base::instant complete_at{}; ///< when all of them are free
-    };
     [[nodiscard]] gang_room find_gang_room(const tracked_job& job,
                                            const step_rank& rank,
                                            const step_execution& step,
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -173,17 +173,42 @@
     return claims;
 }
 
+// A gang gathers its room while it has tickets; a call takes longer than that,
+// and the room would stay idle during it. So the choice has to become much
+// larger, unless the gang can't expect to find its room without the call.
+bool scheduler::widens_choice(const tracked_job& job,
+                              const workload::step& spec,
+                              const std::vector<fit_candidate>& candidates,
+                              int missing, const gang_room& known) {
+    if (candidates.size() >= min_further_candidates) {
+        return true;
+    }
+    double admission_rate =
+        m_advice_calls.admission_ratio_of(job.execution->job().queue.name)
+            .value();
+    int free = 0;
+    int idle = 0;
+    for (const fit_candidate& it : candidates) {
+        free += tasks_that_fit(spec.need, it.available, it.max_tasks);
+        idle += tasks_that_fit(spec.need, it.idle, it.max_tasks);
+    }
+    if (idle * admission_rate >= known.idle_slots) {
+        return true;
+    }
+    return has_spare_room() && !known.expected_soon &&
+           known.free_slots + free * admission_rate >= missing;
+}
+
 bool scheduler::request_new_candidates(tracked_job& job, const step_rank& rank,
                                        step_execution& step, int missing,
+                                       const gang_room& known,
                                        base::instant now) {
     auto candidates = select_advice_candidates(job, rank, step, missing, now);
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
-    // A gang gathers its room while it has tickets; the call takes longer than
-    // that, and the room would stay idle during it.
     bool worthwhile = rank.priority == 0 || !spec.gang ||
                       step.advice.admitted.empty() ||
-                      candidates.size() >= min_further_candidates;
+                      widens_choice(job, spec, candidates, missing, known);
     if (!worthwhile) {
         return false;
     }
--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -16,8 +16,13 @@
 /// longer if it is wide.
 constexpr base::milliseconds min_gathering_time{400};
 /// Pause after a renewal of a gang's tickets, longer with each one, as the
-/// expected room did not become free in time.
+/// expected room did not become free in time. It ends when the gang starts, and
+/// does not apply while there is room to spare.
 constexpr base::milliseconds renewal_pause{4000};
+/// A gang that expects its room later than this, or renewed its tickets this
+/// often without getting it, asks about further endpoints with free room.
+constexpr base::milliseconds expected_wait{1000};
+constexpr int max_trusted_renewals = 3;
 /// How much earlier or later than its tickets a gang's room may be complete.
 /// The expected ends of runs are not exact.
 constexpr base::milliseconds gather_slack{400};
@@ -148,10 +153,13 @@
         has_room ? room.complete_at - now : base::milliseconds::max();
     bool first = m_gang_claims <= 0.0;
     bool soon = gather <= patience || first;
+    bool spare = has_spare_room();
     // The gang that crosses the limit may claim as well, or one that is wider
     // than the limit never could.
-    if (has_room && m_gang_claims < max_gang_claims && soon) {
-        if (room.complete_at + gather_slack >= usable_at) {
+    bool may_claim =
+        has_room && soon && (spare || m_gang_claims < max_gang_claims);
+    if (may_claim) {
+        if (spare || room.complete_at + gather_slack >= usable_at) {
             m_gang_claims += share;
             step.advice.claims = room.claims;
             apply_pending_claims(step);
@@ -169,8 +177,13 @@
     if (step.advice.call_in_flight || !may_call(rank, now)) {
         return placement_outcome::waiting;
     }
-    bool renew = has_room && !ticketed && soon &&
-                 now >= step.advice.next_renewal_at &&
+    // Without a claim others would take the room during the call. With room to
+    // spare, a gang whose expectation failed once waits until it has its room.
+    bool is_free = room.free_slots >= missing;
+    bool in_turn = spare && step.advice.renewals > 0
+                       ? is_free
+                       : now >= step.advice.next_renewal_at;
+    bool renew = may_claim && !ticketed && in_turn &&
                  room.complete_at <= usable_at + gather_slack;
     if (renew) {
         // A call takes hardly longer for all admitted endpoints, and with
@@ -183,8 +196,11 @@
         request_advice(job, rank, step, room.admitted, {}, now);
         return placement_outcome::waiting;
     }
-    bool asked = room.idle_slots < min_gang_choice * missing &&
-                 request_new_candidates(job, rank, step, missing, now);
+    room.expected_soon = has_room && gather <= expected_wait &&
+                         step.advice.renewals < max_trusted_renewals;
+    bool wants_choice = spare || room.idle_slots < min_gang_choice * missing;
+    bool asked = wants_choice &&
+                 request_new_candidates(job, rank, step, missing, room, now);
     return can_fit || asked ? placement_outcome::waiting
                             : placement_outcome::blocked;
 }
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -84,6 +84,10 @@
     }
 }
 
+bool scheduler::has_spare_room() const {
+    return dominant_share(m_usable_used, m_usable_total) < headroom_begins;
+}
+
 double scheduler::window_size() const {
     double free = 1.0 - m_limits.urgent_headroom -
                   dominant_share(m_usable_used, m_usable_total);
@@ -400,7 +404,7 @@
     bool asked = step.advice.next_call_at <= now &&
                  tasks_that_fit(spec.need, m_largest_free, 1) > 0 &&
                  may_call(rank, now) &&
-                 request_new_candidates(job, rank, step, missing, now);
+                 request_new_candidates(job, rank, step, missing, {}, now);
     if (asked || !chosen.empty()) {
         return placement_outcome::waiting;
     }
@@ -450,6 +454,9 @@
     if (chosen.empty()) {
         return gather_room(job, rank, step, unfinished, now);
     }
+    // The room came free in time after all.
+    step.advice.renewals = 0;
+    step.advice.next_renewal_at = {};
     std::size_t k = 0;
     for (int i = 0; i < spec.count; ++i) {
         if (step.tasks[static_cast<std::size_t>(i)].phase == task_phase::done) {
