--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -4,6 +4,7 @@
 #include "message_codec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace eelgrasslever;
 using cluster::order_status;
@@ -144,6 +145,21 @@
 }
 
 // A partly decoded reply would look as if the remaining tasks no longer ran.
+// An endpoint lists 500 completions at a time. A run that was in neither list
+// was taken for lost although its completion was yet to come.
+BOOST_AUTO_TEST_CASE(a_full_list_of_completions_is_reported_as_truncated) {
+    for (int count : {499, 500}) {
+        auto ended = nlohmann::json::array();
+        for (int i = 1; i <= count; ++i) {
+            ended.push_back({i, "5c0e7a21d94b36f8.0.1.17", 1, "done", ""});
+        }
+        nlohmann::json body{{"clockMs", 1}, {"ended", std::move(ended)}};
+        auto reply = platform::decode_renew_reply(200, body.dump());
+        BOOST_TEST(reply.finished.size() == static_cast<std::size_t>(count));
+        BOOST_TEST(reply.finished_truncated == (count == 500));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(invalid_renew_reply_is_reported_as_unreachable) {
     for (const char* invalid : {R"({"running":7})", R"({"running":[[1,2]]})",
                                 R"({"ended":[["x"]]})"}) {
@@ -152,6 +168,20 @@
     }
 }
 
+// A truncated reply, or one of another program at the endpoint's address,
+// counted as a report that nothing runs there, and all tasks were started
+// elsewhere.
+BOOST_AUTO_TEST_CASE(a_renew_reply_without_a_clock_reading_shows_nothing) {
+    for (const char* invalid :
+         {"", "{}", "[]", R"({"clockMs":4821,"running":[)",
+          R"({"running":[],"ended":[]})", "<html></html>"}) {
+        auto reply = platform::decode_renew_reply(200, invalid);
+        BOOST_TEST((reply.status == order_status::unreachable), invalid);
+    }
+    auto reply = platform::decode_renew_reply(200, R"({"clockMs":4821})");
+    BOOST_TEST((reply.status == order_status::done));
+}
+
 BOOST_AUTO_TEST_CASE(each_refusal_maps_to_its_status) {
     auto status = [](int code, const char* body) {
         return platform::decode_order_reply(code, body).status;
