Move tasks that last off a draining endpoint at once

Cause: a task that lasts can't end before the endpoint that drains, and stayed there to the last; the wait for the lease came on top. Change: such tasks are stopped once the endpoint drains and start elsewhere as soon as the stop is reported. Other tasks go on, as they may end in time. Test: tasks_that_last_leave_a_draining_endpoint_at_once, 0 of 2 moved before, 2 now.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -202,6 +202,9 @@
     void renew_if_due(endpoint_state& endpoint, base::instant now);
     void stop_run(endpoint_state& endpoint, const run_key& key,
                   base::instant now);
+    /// Stops the tasks on a draining endpoint that would only end with it, so
+    /// that they continue elsewhere at once.
+    void move_lasting_tasks(endpoint_state& endpoint, base::instant now);
     /// The run that an order refers to.
     struct ordered_run {
         endpoint_state& endpoint;
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -65,6 +65,9 @@
     }
     for (auto& [id, endpoint] : m_endpoints) {
         if (sweep) {
+            if (endpoint.listing.draining) {
+                move_lasting_tasks(endpoint, now);
+            }
             retry_stops(endpoint, now);
         }
         renew_if_due(endpoint, now);
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -564,6 +564,28 @@
     requeue_task(key.task, key.run, checkpoint, now);
 }
 
+void scheduler::move_lasting_tasks(endpoint_state& endpoint,
+                                   base::instant now) {
+    std::vector<run_key> lasting;
+    for (const auto& [key, run] : endpoint.runs) {
+        const tracked_job* job = find_job(key.task.job);
+        if (run.phase == allocation_phase::running && job != nullptr &&
+            job->execution->job()
+                .steps[static_cast<std::size_t>(key.task.step)]
+                .long_running) {
+            lasting.push_back(key);
+        }
+    }
+    for (const run_key& key : lasting) {
+        observe::log_event("task_moved",
+                           {{"task", workload::to_string(key.task)},
+                            {"run", std::to_string(key.run)},
+                            {"endpoint", endpoint.listing.id},
+                            {"why", "endpoint drains"}});
+        stop_run(endpoint, key, now);
+    }
+}
+
 void scheduler::send_stop(endpoint_state& endpoint, const run_key& key,
                           allocation& run, base::instant now) {
     if (run.stop_in_flight || !m_can_order) {
--- a/tests/cluster/scheduler_test.cpp
+++ b/tests/cluster/scheduler_test.cpp
@@ -417,6 +417,26 @@
     expect_no_violations(fleet);
 }
 
+// Tasks that last stood idle from the end of the endpoint until its lease had
+// expired, although its drain had been announced.
+BOOST_AUTO_TEST_CASE(tasks_that_last_leave_a_draining_endpoint_at_once) {
+    fake_fleet fleet(29, {});
+    fleet.add_endpoint("e1", cores(4));
+    fleet.elect_leader();
+    fleet.task_duration = [](const auto&) { return 100 * second; };
+    workload::job lasting = make_job("lasting", 2, 1000);
+    lasting.steps.front().long_running = true;
+    fleet.submit(lasting);
+    fleet.submit(make_job("batch", 1, 1000));
+    fleet.run_for(second);
+    fleet.add_endpoint("e2", cores(4));
+    fleet.drain_endpoint("e1");
+    fleet.run_for(second);
+    BOOST_TEST(fleet.endpoint("e2").runs.size() == 2u);
+    BOOST_TEST(fleet.endpoint("e1").runs.size() == 1u);
+    expect_no_violations(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_on_a_hanging_endpoint_are_restarted_elsewhere) {
     fake_fleet fleet(9, {});
     fleet.add_endpoint("e1", cores(4)).hangs = true;
