Unlist, drain and replace endpoints in the random scenarios

The scenarios also unlist endpoints that go on running, list them again, drain and end them, let another incarnation answer at their address, and let a former leader go on beside its successor, also on endpoints that only it reaches. Clocks may be 2% slow. The check that all jobs end is a test of its own, so that a fault of one kind doesn't hide the other; both cover every scenario.

--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -24,13 +24,14 @@
         m_fleet.passes_leases_on = seed % 2 == 0;
     }
 
-    /// @return the violations that were found.
-    std::vector<std::string> run() {
-        base::resources capacity;
-        capacity.cpu_milli = 8000;
-        capacity.memory_mb = 32'000;
+    struct result {
+        std::vector<std::string> violations;
+        std::string open_jobs; ///< those that didn't end
+    };
+
+    result run() {
         for (int i = 0; i < 6; ++i) {
-            m_fleet.add_endpoint("e" + std::to_string(i), capacity);
+            add_endpoint("e" + std::to_string(i));
         }
         m_fleet.task_duration = [this](const workload::task_key& key) {
             std::size_t h = std::hash<std::string>{}(key.job + "." +
@@ -43,42 +44,93 @@
             // run.
             return id < "e3" || std::hash<std::string>{}(key.job + id) % 3 != 0;
         };
+        m_fleet.passes_leases_on = draw_below(2) == 0;
         m_fleet.elect_leader();
         for (int turn = 0; turn < 60; ++turn) {
             inject_event(turn);
             m_fleet.run_for(base::milliseconds(200));
         }
-        for (int i = 0; i < 6; ++i) {
-            m_fleet.endpoint("e" + std::to_string(i)).reachable = true;
-            m_fleet.endpoint("e" + std::to_string(i)).hangs = false;
+        for (const std::string& id : m_alive) {
+            m_fleet.endpoint(id).reachable = true;
+            m_fleet.endpoint(id).cut_off_from.clear();
+            m_fleet.endpoint(id).hangs = false;
+            if (m_fleet.endpoint(id).listing.draining) {
+                m_fleet.remove_endpoint(id);
+            } else {
+                m_fleet.list_endpoint(id);
+            }
         }
         m_fleet.store_up = true;
-        bool all_ended = m_fleet.run_until_jobs_end(180 * second);
-        auto violations = m_fleet.violations();
-        if (!all_ended) {
-            violations.push_back("jobs not ended: " +
-                                 m_fleet.describe_open_jobs());
-        }
-        return violations;
+        m_fleet.run_until_jobs_end(180 * second);
+        return {m_fleet.violations(), m_fleet.describe_open_jobs()};
     }
 
   private:
     test::fleet_faults draw_faults() {
         test::fleet_faults out;
         out.lost_reply = draw_below(3) == 0 ? 0.1 : 0.0;
-        out.late_order = draw_below(3) == 0 ? 0.05 : 0.0;
+        out.late_order = draw_below(2) == 0 ? 0.1 : 0.0;
+        out.vary_late_orders = draw_below(2) == 0;
         out.failed_run = draw_below(2) == 0 ? 0.05 : 0.0;
         return out;
     }
 
+    void add_endpoint(const std::string& id) {
+        base::resources capacity;
+        capacity.cpu_milli = 8000;
+        capacity.memory_mb = 32'000;
+        m_fleet.add_endpoint(id, capacity).clock_percent =
+            98 + static_cast<int>(draw_below(3));
+        m_alive.push_back(id);
+    }
+
+    // A new endpoint that admits the same steps replaces it, so that every job
+    // can run.
+    void end_endpoint(std::size_t place) {
+        std::string id = m_alive[place];
+        if (draw_below(2) == 0) {
+            m_fleet.remove_endpoint(id);
+        } else {
+            m_fleet.replace_endpoint(id);
+        }
+        m_alive.erase(m_alive.begin() + static_cast<std::ptrdiff_t>(place));
+        add_endpoint(id + "n");
+    }
+
+    void drain_endpoint(const std::string& id) {
+        if (!m_fleet.endpoint(id).listing.draining) {
+            m_fleet.drain_endpoint(id);
+            add_endpoint(id + "d");
+        }
+    }
+
+    void toggle_listing(const std::string& id) {
+        if (m_fleet.endpoint(id).registered) {
+            m_fleet.unlist_endpoint(id);
+        } else {
+            m_fleet.list_endpoint(id);
+        }
+    }
+
+    // The former leader reaches some of the endpoints that the new one doesn't.
+    void supersede_leader() {
+        for (const std::string& id : m_alive) {
+            if (draw_below(3) == 0) {
+                m_fleet.endpoint(id).cut_off_from = {m_fleet.term() + 1};
+            }
+        }
+        m_fleet.supersede_leader(base::milliseconds(draw_below(2000)));
+    }
+
     std::uint64_t draw_below(std::uint64_t bound) { return m_random() % bound; }
 
     void inject_event(int turn) {
         if (draw_below(2) == 0) {
             submit(turn);
         }
-        std::string id = "e" + std::to_string(draw_below(6));
-        switch (draw_below(14)) {
+        std::size_t place = draw_below(m_alive.size());
+        std::string id = m_alive[place];
+        switch (draw_below(20)) {
         case 0:
             m_fleet.elect_leader(base::milliseconds(draw_below(2000)));
             break;
@@ -96,6 +148,19 @@
                 m_fleet.cancel("j" + std::to_string(draw_below(m_jobs)));
             }
             break;
+        case 5:
+        case 6:
+            toggle_listing(id);
+            break;
+        case 7:
+            drain_endpoint(id);
+            break;
+        case 8:
+            end_endpoint(place);
+            break;
+        case 9:
+            supersede_leader();
+            break;
         default:
             break;
         }
@@ -123,6 +188,7 @@
 
     std::mt19937_64 m_random;
     fake_fleet m_fleet;
+    std::vector<std::string> m_alive; ///< ids of the endpoints
     std::uint64_t m_jobs{0};
 };
 
@@ -138,12 +204,22 @@
     std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
     std::uint64_t count = from_environment("EEL_SEEDS", 40);
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        for (const std::string& violation : random_scenario(seed).run()) {
+        for (const std::string& violation :
+             random_scenario(seed).run().violations) {
             BOOST_ERROR("seed " + std::to_string(seed) + ": " + violation);
         }
     }
 }
 
+BOOST_AUTO_TEST_CASE(all_jobs_of_random_scenarios_end) {
+    std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
+    std::uint64_t count = from_environment("EEL_SEEDS", 40);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        std::string open = random_scenario(seed).run().open_jobs;
+        BOOST_TEST(open.empty(), "seed " << seed << ": not ended: " << open);
+    }
+}
+
 namespace {
 
 /// Fields that the log line of each decision must have.
