Say who waits by the width of the steps

Callers saw that the widest gangs of a class are served far less than the class; no line or metric of the leader showed it, as all counts were by queue.

width_summary, each second for each queue and width band: steps started and how long they had waited, steps that became overdue before they started, steps that wait and the longest wait; the same as metrics. The simulated load reports what the largest tenth and the fifth below it earned. A leftover of an earlier trial that printed the offered load to standard error is gone.

--- a/benchmark/scheduler_load.cpp
+++ b/benchmark/scheduler_load.cpp
@@ -59,7 +59,9 @@
                   << row.jobs << ", in time " << row.in_time << ", late "
                   << row.late << ", served " << row.served_share()
                   << " (largest tenth " << row.largest_served_share
-                  << "), advice calls " << row.advice_calls << " for "
+                  << "), largest tenth earned " << row.largest_earned_share
+                  << ", fifth below " << row.large_earned_share
+                  << ", advice calls " << row.advice_calls << " for "
                   << row.steps_asked << " steps, " << row.advice_seconds
                   << " s\n";
     }
--- a/include/eelgrasslever/cluster/placement_statistics.hpp
+++ b/include/eelgrasslever/cluster/placement_statistics.hpp
@@ -5,10 +5,12 @@
 
 #include "eelgrasslever/base/time.hpp"
 
+#include <bit>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace eelgrasslever::cluster {
 
@@ -29,10 +31,31 @@
     std::size_t tasks_placed{0};
 };
 
+/// Steps of one queue and of similar width: from a power of two up to the next.
+struct width_statistics {
+    // Since they were taken last.
+    std::size_t started{0};        ///< steps of which no task waits any more
+    base::milliseconds waited{0};  ///< by these steps together
+    std::size_t became_overdue{0}; ///< before they started
+    // At the end of the interval.
+    std::size_t waiting{0};
+    base::milliseconds longest_wait{0}; ///< of those that wait
+};
+
+/// @return the smallest number of tasks of the steps that are counted together
+/// with a step of @p tasks tasks.
+[[nodiscard]] constexpr int width_band(int tasks) {
+    return tasks < 1
+               ? 0
+               : static_cast<int>(std::bit_floor(static_cast<unsigned>(tasks)));
+}
+
 struct placement_statistics {
     std::size_t passes{0};
     std::size_t steps_examined{0}; ///< by all passes together
     std::map<std::string, queue_statistics> queues;
+    /// By queue and `width_band`.
+    std::map<std::pair<std::string, int>, width_statistics> widths;
 
     // At the end of the interval.
     std::size_t steps_ready{0};
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -311,6 +311,10 @@
     void enqueue(tracked_job& job, int occurrence, int step);
     /// Counts a step of which no task waits any more.
     void count_started(const step_rank& rank, base::instant now);
+    /// @return the counts of the steps of the same queue and similar width, and
+    /// the step; nullptr if it is not known.
+    std::pair<width_statistics*, const step_execution*>
+    width_counts(const step_rank& rank);
     enum class placement_outcome {
         placed,  ///< no task is waiting any more
         waiting, ///< for a reply, for room, or for an earlier run to end
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -115,16 +115,19 @@
 }
 
 placement_statistics scheduler::take_statistics(base::instant now) {
-    placement_statistics result = std::exchange(m_statistics, {});
-    result.steps_ready = m_ready.size();
     m_ready.for_each([&](const step_rank& rank) {
-        const step_execution* step = find_step(rank);
+        auto [counts, step] = width_counts(rank);
         if (step != nullptr) {
-            result.oldest_unexamined =
-                std::max(result.oldest_unexamined,
+            m_statistics.oldest_unexamined =
+                std::max(m_statistics.oldest_unexamined,
                          now - std::max(step->examined_at, step->unlocked_at));
+            counts->waiting++;
+            counts->longest_wait =
+                std::max(counts->longest_wait, now - step->unlocked_at);
         }
     });
+    placement_statistics result = std::exchange(m_statistics, {});
+    result.steps_ready = m_ready.size();
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!is_usable(endpoint, now)) {
             continue;
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -167,13 +167,32 @@
     m_statistics.steps_examined += examined;
     for (const step_rank& rank : m_ready.take_newly_overdue()) {
         if (const tracked_job* job = find_job(rank.job)) {
+            if (width_statistics* counts = width_counts(rank).first) {
+                counts->became_overdue++;
+            }
             m_shares.add_missed(job->execution->job().queue.name,
                                 waiting_share(rank), now);
         }
     }
 }
 
+std::pair<width_statistics*, const step_execution*>
+scheduler::width_counts(const step_rank& rank) {
+    const step_execution* step = find_step(rank);
+    if (step == nullptr) {
+        return {nullptr, nullptr};
+    }
+    const std::string& queue = find_job(rank.job)->execution->job().queue.name;
+    int width = width_band(static_cast<int>(step->tasks.size()));
+    return {&m_statistics.widths[{queue, width}], step};
+}
+
 void scheduler::count_started(const step_rank& rank, base::instant now) {
+    auto [counts, step] = width_counts(rank);
+    if (step != nullptr && step->waiting_count == 0) {
+        counts->started++;
+        counts->waited += now - step->unlocked_at;
+    }
     const tracked_job* job = find_job(rank.job);
     if (job == nullptr || rank.priority == 0 || rank.latest_start <= now) {
         return;
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -502,6 +502,26 @@
              {"tickets_issued", std::to_string(counts.tickets_issued)},
              {"tickets_used", std::to_string(counts.tickets_used)}});
     }
+    for (const auto& [key, counts] : placement.widths) {
+        const auto& [queue, width] = key;
+        std::string label =
+            "{queue=\"" + queue + "\",width=\"" + std::to_string(width) + "\"}";
+        m_metrics.add("steps_started" + label,
+                      static_cast<double>(counts.started));
+        m_metrics.add("step_wait_seconds" + label,
+                      std::chrono::duration<double>(counts.waited).count());
+        m_metrics.add("steps_overdue" + label,
+                      static_cast<double>(counts.became_overdue));
+        observe::log_event(
+            "width_summary",
+            {{"queue", queue},
+             {"width", std::to_string(width)},
+             {"started", std::to_string(counts.started)},
+             {"waited_ms", std::to_string(counts.waited.count())},
+             {"became_overdue", std::to_string(counts.became_overdue)},
+             {"waiting", std::to_string(counts.waiting)},
+             {"longest_wait_ms", std::to_string(counts.longest_wait.count())}});
+    }
 }
 
 void cluster_service::refresh_gauges() {
--- a/tests/support/mixed_load.cpp
+++ b/tests/support/mixed_load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 #include <unordered_map>
 
 namespace eelgrasslever::test {
@@ -17,6 +18,22 @@
     double worth{0.0};
 };
 
+struct job_outcome {
+    double work_core_seconds{0.0};
+    double worth{0.0};
+    double earned{0.0};
+};
+
+double earned_share(std::span<const job_outcome> jobs) {
+    double worth = 0.0;
+    double earned = 0.0;
+    for (const job_outcome& job : jobs) {
+        worth += job.worth;
+        earned += job.earned;
+    }
+    return worth > 0.0 ? earned / worth : 1.0;
+}
+
 /// @return a sample with a mean of one.
 double draw_factor(double spread, std::mt19937_64& random) {
     return std::lognormal_distribution<double>(-spread * spread / 2.0,
@@ -366,7 +383,7 @@
         static_cast<double>(options.vms) *
         static_cast<double>((options.arrivals + options.finish).count());
     report.advice_busy_share = advice_seconds / vm_seconds;
-    std::map<std::string, std::vector<std::pair<double, bool>>> served_by_work;
+    std::map<std::string, std::vector<job_outcome>> outcomes;
     for (const auto& [id, job] : submitted) {
         auto ended = fleet.ended_at(id);
         bool completed = ended && fleet.progress_of(id).state ==
@@ -376,31 +393,36 @@
         milliseconds age =
             completed ? *ended - job.submitted_at : milliseconds::max();
         bool late = age > job.objective && age <= 3 * job.objective;
+        double earned = 0.0;
         if (age <= job.objective) {
             row.in_time++;
-            row.earned += job.worth;
+            earned = job.worth;
         } else if (late) {
             row.late++;
-            row.earned += job.worth / 5.0;
+            earned = job.worth / 5.0;
         }
-        served_by_work[job.kind->name].emplace_back(
-            job.work_core_seconds, age <= job.objective || late);
+        row.earned += earned;
+        outcomes[job.kind->name].push_back(
+            {job.work_core_seconds, job.worth, earned});
     }
-    for (auto& [name, jobs] : served_by_work) {
-        std::sort(jobs.rbegin(), jobs.rend());
-        jobs.resize(std::max<std::size_t>(1, jobs.size() / 10));
-        report.classes[name].largest_served_share =
-            static_cast<double>(
-                std::count_if(jobs.begin(), jobs.end(),
-                              [](const auto& job) { return job.second; })) /
-            static_cast<double>(jobs.size());
+    for (auto& [name, jobs] : outcomes) {
+        std::sort(jobs.begin(), jobs.end(),
+                  [](const job_outcome& a, const job_outcome& b) {
+                      return a.work_core_seconds > b.work_core_seconds;
+                  });
+        std::size_t tenth = std::max<std::size_t>(1, jobs.size() / 10);
+        std::span all(jobs);
+        auto largest = all.first(tenth);
+        class_report& row = report.classes[name];
+        row.largest_served_share =
+            static_cast<double>(std::count_if(
+                largest.begin(), largest.end(),
+                [](const auto& job) { return job.earned > 0.0; })) /
+            static_cast<double>(tenth);
+        row.largest_earned_share = earned_share(largest);
+        row.large_earned_share = earned_share(
+            all.subspan(tenth, std::min(2 * tenth, jobs.size() - tenth)));
     }
-    double offered = 0;
-    for (auto& [n, r] : report.classes)
-        offered += r.work_core_seconds;
-    fprintf(stderr, "offered %.3f\n",
-            offered * 1000 / options.endpoints / options.capacity.cpu_milli /
-                options.arrivals.count());
     report.violations = fleet.violations().size();
     return report;
 }
--- a/tests/support/mixed_load.hpp
+++ b/tests/support/mixed_load.hpp
@@ -53,6 +53,10 @@
     int late{0};
     /// Share of the largest tenth of the jobs, by work, that were served.
     double largest_served_share{1.0};
+    /// Share of their worth that the largest tenth of the jobs, by work, and
+    /// the fifth below it earned.
+    double largest_earned_share{1.0};
+    double large_earned_share{1.0};
     double owed{0.0};
     double earned{0.0};
     double work_core_seconds{0.0}; ///< of all submitted tasks
