Test, known to fail: what the largest jobs earn under more work than fits

The users' report: of the largest tenth of nightly-recon fewer were served than of all. The test offers 1.1 times the room with bursts, half of it wide gangs, and asks that the largest tenth and the fifth below it earn 0.7 of what their class earns, the ratio that the users ask for.

--- a/tests/cluster/overload_test.cpp
+++ b/tests/cluster/overload_test.cpp
@@ -109,4 +109,31 @@
     observe::set_logging_enabled(true);
 }
 
+// Pattern: with bursts, more work than fits, half of it gangs of up to 120
+// tasks. Wide gangs learned of their endpoints one call after another and found
+// their room taken, so that they were overdue before they could start.
+BOOST_AUTO_TEST_CASE(the_largest_jobs_earn_their_share_under_overload) {
+    constexpr double target_ratio = 0.7;
+    observe::set_logging_enabled(false);
+    for (std::uint64_t seed : {1, 2, 3}) {
+        auto options = test::make_gang_heavy_load(540, 97, 1.0);
+        options.seed = seed;
+        options.arrivals = std::chrono::seconds(41);
+        auto report = test::run_mixed_load(options);
+        BOOST_TEST(report.violations == 0u);
+        for (const auto& [name, row] : report.classes) {
+            double due = target_ratio * row.earned_share();
+            BOOST_TEST(row.largest_earned_share >= due,
+                       name << ": largest tenth " << row.largest_earned_share
+                            << ", all " << row.earned_share() << "; seed "
+                            << seed);
+            BOOST_TEST(row.large_earned_share >= due,
+                       name << ": fifth below the largest tenth "
+                            << row.large_earned_share << ", all "
+                            << row.earned_share() << "; seed " << seed);
+        }
+    }
+    observe::set_logging_enabled(true);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
