Ask about as many endpoints as a gang's width requires at once

Callers saw that wide gangs of a large site start 24 to 46 s after hand-in.

Cause: a call for advice names 100 endpoints at most, of which a third admits the gang. A gang of 60 then has 105 slots at best and has to empty half of its endpoints. It asked about more one call after another, 1.2 s each and 2.4 s apart, while its slack is below 6 s.

Change: a gang asks about endpoints for sixteen times its need (eight before), in several calls at once through idle VMs, a quarter of which stay idle for single calls. So the time until it knows its endpoints does not grow with its width.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -59,10 +59,10 @@
 struct step_advice {
     std::unordered_map<std::uint32_t, ticket> admitted;
     std::unordered_set<std::uint32_t> rejected;
-    bool call_in_flight{false};
+    int calls_in_flight{0};
     int renewals{0};                 ///< calls for new tickets of a gang
     base::instant next_renewal_at{}; ///< earliest next one
-    base::instant reply_due_at{};    ///< of the call in flight
+    base::instant reply_due_at{};    ///< of the latest call in flight
     /// Earliest next call that only adds endpoints.
     base::instant next_call_at{};
     /// Room that the step may take once the outstanding call is answered.
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -381,6 +381,10 @@
                              base::instant now);
     /// @return whether a channel is free for a step of this rank.
     [[nodiscard]] bool may_call(const step_rank& rank, base::instant now) const;
+    /// @return in how many calls at once the step may ask about endpoints.
+    [[nodiscard]] std::size_t max_calls(const step_rank& rank,
+                                        const workload::step& spec,
+                                        base::instant now) const;
     /// Where a gang could run among the endpoints that admit it.
     struct gang_room {
         std::vector<fit_candidate> admitted; ///< those of the claims first
@@ -407,6 +411,12 @@
     bool widens_choice(const tracked_job& job, const workload::step& spec,
                        const std::vector<fit_candidate>& candidates,
                        int missing, const gang_room& known);
+    /// Asks about the candidates in as many calls as they need.
+    /// @return whether any call was made.
+    bool request_gang_advice(tracked_job& job, const step_rank& rank,
+                             step_execution& step,
+                             const std::vector<fit_candidate>& candidates,
+                             base::instant now);
     /// @param claims room that the step holds until the reply.
     /// @return whether the call was made.
     bool request_advice(tracked_job& job, const step_rank& rank,
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -39,7 +39,7 @@
         if (tracked_job* job = find_job(call.step.job)) {
             if (step_execution* step = job->execution->find_step(
                     call.step.occurrence, call.step.step)) {
-                step->advice.call_in_flight = false;
+                step->advice.calls_in_flight--;
                 step->advice.claims.clear();
             }
         }
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -21,7 +21,7 @@
 constexpr double task_surplus = 2.0;
 /// Capacity, relative to its need, of the endpoints among which a gang gathers
 /// room. The more there are, the sooner enough of their tasks end.
-constexpr double gang_choice = 8.0;
+constexpr double gang_choice = 16.0;
 /// Least time that a call for waiting work spends on candidates, relative to
 /// its fixed time. With more candidates, room becomes free sooner on one that
 /// admits the step, and a second call is needed less often.
@@ -37,6 +37,8 @@
 constexpr base::milliseconds no_candidate_pause{30};
 /// Share of the channels that only urgent steps may use.
 constexpr std::size_t urgent_channel_divisor = 8;
+/// Share of the channels that calls beside a step's first one leave idle.
+constexpr std::size_t single_call_channel_divisor = 4;
 
 /// @return how many candidates lengthen a call by `min_candidate_time_share`.
 std::size_t affordable_candidates(const workload::advice_policy& policy) {
@@ -76,6 +78,18 @@
     return m_advice_calls.idle_channel_count(now) > kept;
 }
 
+std::size_t scheduler::max_calls(const step_rank& rank,
+                                 const workload::step& spec,
+                                 base::instant now) const {
+    if (!spec.gang || rank.priority == 0) {
+        return 1;
+    }
+    std::size_t kept =
+        m_advice_calls.channel_count() / single_call_channel_divisor;
+    std::size_t idle = m_advice_calls.idle_channel_count(now);
+    return idle > kept + 1 ? idle - kept : 1;
+}
+
 std::vector<fit_candidate> scheduler::select_advice_candidates(
     const tracked_job& job, const step_rank& rank, const step_execution& step,
     int missing, base::instant now) {
@@ -118,8 +132,9 @@
         }
         return a.fits < b.fits;
     };
-    auto last = options.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                      options.size(), max_advice_candidates));
+    std::size_t most = max_calls(rank, spec, now) * max_advice_candidates;
+    auto last = options.begin() +
+                static_cast<std::ptrdiff_t>(std::min(options.size(), most));
     std::partial_sort(options.begin(), last, options.end(), precedes);
     options.erase(last, options.end());
     if (options.empty() || (!spec.gang && options.front().fits == 0)) {
@@ -213,16 +228,37 @@
     if (!worthwhile) {
         return false;
     }
-    auto claims = spec.gang ? std::vector<room_claim>{}
-                            : make_claims(spec, candidates, missing);
-    bool asked =
-        request_advice(job, rank, step, candidates, std::move(claims), now);
+    if (spec.gang) {
+        return request_gang_advice(job, rank, step, candidates, now);
+    }
+    bool asked = request_advice(job, rank, step, candidates,
+                                make_claims(spec, candidates, missing), now);
     if (asked) {
         apply_pending_claims(step);
     }
     return asked;
 }
 
+// Calls one after another would take longer than a wide gang can wait.
+bool scheduler::request_gang_advice(
+    tracked_job& job, const step_rank& rank, step_execution& step,
+    const std::vector<fit_candidate>& candidates, base::instant now) {
+    std::size_t calls = std::max<std::size_t>(
+        1, (candidates.size() + max_advice_candidates - 1) /
+               max_advice_candidates);
+    bool asked = false;
+    for (std::size_t i = 0; i < calls; ++i) {
+        auto part = [&](std::size_t call) {
+            return candidates.begin() + static_cast<std::ptrdiff_t>(
+                                            candidates.size() * call / calls);
+        };
+        asked =
+            request_advice(job, rank, step, {part(i), part(i + 1)}, {}, now) ||
+            asked;
+    }
+    return asked;
+}
+
 bool scheduler::request_advice(tracked_job& job, const step_rank& rank,
                                step_execution& step,
                                const std::vector<fit_candidate>& candidates,
@@ -244,9 +280,10 @@
     call.query =
         m_advice_calls.begin_call(*channel, call.step, call.candidates,
                                   call.timeout + advice_timeout_slack, now);
-    step.advice.call_in_flight = true;
+    step.advice.calls_in_flight++;
     step.advice.reply_due_at =
-        now + queue.advice->call_duration(candidates.size());
+        std::max(step.advice.reply_due_at,
+                 now + queue.advice->call_duration(candidates.size()));
     step.advice.claims = std::move(claims);
     advice_reason reason = classify_call(step.advice, now);
     m_statistics.queues[queue.name]
@@ -285,7 +322,7 @@
     if (step == nullptr) {
         return;
     }
-    step->advice.call_in_flight = false;
+    step->advice.calls_in_flight--;
     step->advice.claims.clear();
     const workload::queue_policy& queue = job->execution->job().queue;
     m_effects.on_measured(latency_kind::advice, queue.name,
--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -133,7 +133,7 @@
     const auto& advice = job.execution->job().queue.advice;
     double share = dominant_share(spec.need, m_usable_total) * missing;
     base::milliseconds patience = min_gathering_time + gathering_time(share);
-    if (step.advice.call_in_flight &&
+    if (step.advice.calls_in_flight > 0 &&
         step.advice.reply_due_at - now > patience) {
         return placement_outcome::waiting;
     }
@@ -144,7 +144,7 @@
     base::instant usable_at = now;
     if (!ticketed) {
         usable_at =
-            step.advice.call_in_flight
+            step.advice.calls_in_flight > 0
                 ? step.advice.reply_due_at
                 : now + advice->call_duration(std::min(room.admitted.size(),
                                                        max_advice_candidates));
@@ -174,7 +174,7 @@
         return can_fit ? placement_outcome::waiting
                        : placement_outcome::blocked;
     }
-    if (step.advice.call_in_flight || !may_call(rank, now)) {
+    if (step.advice.calls_in_flight > 0 || !may_call(rank, now)) {
         return placement_outcome::waiting;
     }
     // Without a claim others would take the room during the call. With room to
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -292,7 +292,7 @@
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
     // Most waiting steps can only wait for a reply; this is cheap for them.
     bool only_waits = job.execution->job().queue.advice &&
-                      step.advice.call_in_flight &&
+                      step.advice.calls_in_flight > 0 &&
                       (!spec.gang || step.advice.admitted.empty()) &&
                       !has_ticket(step.advice, now);
     if (only_waits) {
@@ -469,7 +469,7 @@
         return candidates.empty() ? placement_outcome::blocked
                                   : placement_outcome::waiting;
     }
-    if (step.advice.call_in_flight) {
+    if (step.advice.calls_in_flight > 0) {
         apply_pending_claims(step);
         return placement_outcome::waiting;
     }
