Counts: a late reply does not replace a newer count

Callers got a count of waiting jobs and, within the half second for which an answer serves, an older one: 3 after 8 in the test.

Cause: several peers are asked at a time, 0.1 s apart, and the reply that came last was kept, whatever the time of its view. The first reply to the next question replaced a newer count likewise (12 after 8).

A count is kept only if its time, when the question was sent less the age of the view, is later than that of the present one. If it is not, the present one is recent as well and answers those who wait.

--- a/src/service/request_router_counts.cpp
+++ b/src/service/request_router_counts.cpp
@@ -135,7 +135,9 @@
     auto time = query.sent_at - response.age;
     bool is_recent = response.outcome == job_request_outcome::accepted &&
                      base::monotonic_now() - time <= job_service::max_view_age;
-    if (is_recent) {
+    // Replies may overtake one another, and views differ in age.
+    bool is_latest = !m_fetched_counts_time || *m_fetched_counts_time < time;
+    if (is_recent && is_latest) {
         m_fetched_counts = response.pending;
         m_fetched_counts_time = time;
         m_last_count_source = query.address;
--- a/tests/service/request_router_test.cpp
+++ b/tests/service/request_router_test.cpp
@@ -389,6 +389,49 @@
     BOOST_TEST(peer.count_questions <= intervals + 1);
 }
 
+// Several peers are asked at a time. The number of the one that answers last
+// may be the older one, and would serve for the next half second.
+BOOST_AUTO_TEST_CASE(a_late_reply_does_not_replace_a_newer_count) {
+    vm other{loop, vms, "other"};
+    local.router->set_peers({{"other", "other"}, {"peer", "peer"}});
+    local.leader = "other";
+    other.is_silent = true;
+    local.view_time.reset();
+    fill_view(peer, 8);
+    peer.view_time = base::monotonic_now();
+    count_result first;
+    for (int i = 0; i < 100 && !first.answered; ++i) {
+        first = count_jobs(base::milliseconds(10));
+    }
+    BOOST_TEST(first.count.value_or(0) == 8u);
+    BOOST_REQUIRE(other.last_query != 0u);
+    wire::job_response late;
+    late.query = other.last_query;
+    late.outcome = wire::job_request_outcome::accepted;
+    late.age = base::milliseconds(1000);
+    late.pending["q"] = 3;
+    local.router->on_response(late);
+    auto repeated = count_jobs(base::milliseconds(0));
+    BOOST_TEST(repeated.answered);
+    BOOST_TEST(repeated.count.value_or(0) == 8u);
+    BOOST_TEST(peer.count_questions == 1);
+}
+
+// Likewise for the first reply to the next question, from a peer whose view is
+// behind.
+BOOST_AUTO_TEST_CASE(a_later_question_does_not_bring_an_older_count) {
+    local.leader = "peer";
+    local.view_time.reset();
+    fill_view(peer, 8);
+    peer.view_time = base::monotonic_now();
+    BOOST_TEST(count_jobs(reply_time).count.value_or(0) == 8u);
+    test::run_loop(loop, service::request_router::count_interval);
+    fill_view(peer, 12);
+    age_view(peer, base::milliseconds(1500));
+    BOOST_TEST(count_jobs(reply_time).count.value_or(0) == 8u);
+    BOOST_TEST(peer.count_questions == 2);
+}
+
 // Clients poll for the end of their job. A view that is behind would keep them
 // waiting, and would contradict what other VMs said.
 BOOST_AUTO_TEST_CASE(
