Advice: calls are numbered by term, not by a count of the process

A step could get the tickets, and the refusals, of another step: its start was then sent with a ticket that its endpoint refuses, or endpoints that may run it were left out.

Cause: a call through a peer was numbered by the leaderships of this process, from 1, and the calls in it, from 1. A process that is started anew has the address of the former one, so that a late reply to the former's first call matched its own first call.

The upper half of the number is the term. It rises in the transaction that wins the leadership, so no two leaderships share one, of whichever process. Replies of other terms are logged as advice_reply_ignored. While versions are mixed a former count may still equal a term.

The cell of the tests lists its endpoints and keeps the orders for it.

--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -110,10 +110,13 @@
         });
         return;
     }
+    if (!m_leadership) {
+        return; // the scheduler is about to be destroyed
+    }
     wire::advice_request request;
-    // The generation in the upper half prevents a response to an earlier
-    // leadership from being accepted.
-    request.query = (m_leadership_generation << 32) | call.query;
+    // The term in the upper half prevents a response to an earlier leadership
+    // from being accepted, also of an earlier process at the same address.
+    request.query = (m_leadership->term << 32) | call.query;
     request.job = call.step.job;
     request.occurrence = call.step.occurrence;
     request.step = call.step.step;
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -230,6 +230,10 @@
         return;
     }
     constexpr std::uint64_t query_mask = 0xFFFFFFFF;
+    if (!m_leadership || m_leadership->term != response->query >> 32) {
+        observe::log_event("advice_reply_ignored", {{"from", message.from}});
+        return;
+    }
     cluster::advice_reply reply;
     reply.answered = response->answered;
     std::size_t rows =
@@ -238,7 +242,7 @@
         reply.admitted.emplace_back(response->endpoints[i],
                                     response->tickets[i]);
     }
-    with_scheduler(response->query >> 32, activities::advice,
+    with_scheduler(m_leadership_generation, activities::advice,
                    [&](auto& scheduler, auto now) {
                        scheduler.on_advice(response->query & query_mask, reply,
                                            now);
--- a/tests/support/cell_fixture.hpp
+++ b/tests/support/cell_fixture.hpp
@@ -163,6 +163,7 @@
         silent_advice advice;
         observe::metrics metrics;
         std::unique_ptr<service::cluster_service> service;
+        std::string address; ///< for messages of peers
 
         vm(std::string vm_name, kernel::loop& owner, scripted_store& shared)
             : name(std::move(vm_name)), store(owner, shared), endpoints(owner) {
@@ -188,15 +189,21 @@
             m_vms.emplace_back(std::make_unique<vm>(name, loop, shared));
         service::cluster_options options;
         options.vm = name;
-        options.peer_address = free_address();
+        options.peer_address = added->address = free_address();
         options.incarnation = "1";
         options.cores = cores;
         options.failure_domain = failure_domain;
         service::external_records records;
         records.registry_prefix = "endpoints/";
         records.configuration_prefix = "configuration";
-        records.decode_endpoint = [](const coordination::key_value&) {
-            return std::optional<cluster::endpoint_listing>();
+        records.decode_endpoint = [](const coordination::key_value& entry)
+            -> std::optional<cluster::endpoint_listing> {
+            cluster::endpoint_listing listing;
+            listing.id = entry.key;
+            listing.service = "s";
+            listing.address = "127.0.0.1:1";
+            listing.capacity.cpu_milli = 8000;
+            return listing;
         };
         records.decode_configuration = [](const coordination::key_value&) {
             return std::optional<cluster::queue_table>();
@@ -271,10 +278,6 @@
         return is_done();
     }
 
-    kernel::loop loop;
-    scripted_store shared{loop};
-
-  private:
     static std::string free_address() {
         int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
@@ -288,6 +291,10 @@
         return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     }
 
+    kernel::loop loop;
+    scripted_store shared{loop};
+
+  private:
     std::vector<std::unique_ptr<vm>> m_vms;
 };
 
--- a/tests/support/cluster_vm.hpp
+++ b/tests/support/cluster_vm.hpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace eelgrasslever::test {
 
@@ -19,7 +20,9 @@
     explicit willing_endpoints(kernel::loop& owner) : m_owner(owner) {}
 
     void start(const cluster::endpoint_listing&, cluster::fencing_token,
-               const cluster::start_order&, order_callback done) override {
+               const cluster::start_order& order,
+               order_callback done) override {
+        starts.push_back(order);
         m_owner.defer([done] { done(accepted()); });
     }
     void stop(const cluster::endpoint_listing&, cluster::fencing_token,
@@ -43,6 +46,8 @@
         return m_first_renewals.contains(term);
     }
 
+    std::vector<cluster::start_order> starts;
+
   private:
     static cluster::order_reply accepted() {
         return {cluster::order_status::done, cluster::endpoint_time(0)};
