Views: an announced end without records is removed after 180 s

A follower that was told of an end after its watch had reported the removal of the job's record kept that end for good: memory that grows, `completed` instead of 410, and as a leader a write each second for a record that isn't there, which counts towards the 40 removals of a pass.

Cause: entries of the view are removed by changes of the store alone. An entry that was made by an announcement has no record and so no change.

Announced ends are listed with their time. After 180 s, for which the store keeps ends, an entry is removed if no record of it is known; one with a record still goes by the store. The list is looked through at each change, and each second by the maintenance timer, as an idle cell has no changes.

Tests, view/ on: an_announced_end_without_a_record_is_kept_for_a_time and an_end_that_is_announced_again_is_kept_anew failed. They pass now, as does an_announced_end_with_a_record_stays_until_it_is_removed, which guards the change and passed before. The call by the timer is not under test.

--- a/include/eelgrasslever/cluster/job_view.hpp
+++ b/include/eelgrasslever/cluster/job_view.hpp
@@ -6,10 +6,12 @@
 #include "eelgrasslever/coordination/store.hpp"
 #include "eelgrasslever/workload/progress.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace eelgrasslever::cluster {
 
@@ -64,10 +66,15 @@
     change apply(const coordination::key_value& record, base::instant now);
 
     /// Applies a terminal state that another VM has stored, before the watch
-    /// delivers it.
+    /// delivers it. Without any record of the job it is kept for as long as
+    /// the store would keep one.
     void apply_final_state(const std::string& id, workload::job_state state,
                            base::instant now);
 
+    /// Removes jobs of which only an announced end is known, and has been for
+    /// as long as the store keeps records. Each change does so, too.
+    void remove_expired_ends(base::instant now);
+
     /// Notes that clients were told that the job runs. It has no effect on jobs
     /// that the view doesn't contain.
     void note_reported_running(const std::string& id);
@@ -102,6 +109,8 @@
     void modify(const std::string& id, Change change);
 
     std::unordered_map<std::string, job_entry> m_jobs;
+    /// Ends that were announced before a record of them was seen.
+    std::deque<std::pair<base::instant, std::string>> m_announced_ends;
     std::map<std::string, std::size_t> m_pending; ///< by queue, without zeros
 };
 
--- a/src/cluster/job_view.cpp
+++ b/src/cluster/job_view.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslever/cluster/job_view.hpp"
 
+#include "eelgrasslever/cluster/ended_jobs.hpp"
 #include "eelgrasslever/observe/log.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 
@@ -47,6 +48,7 @@
 
 job_view::change job_view::apply(const coordination::key_value& record,
                                  base::instant now) {
+    remove_expired_ends(now);
     if (auto id = strip_prefix(record.key, keys::job)) {
         return apply_job(*id, record);
     }
@@ -116,10 +118,12 @@
 
 void job_view::apply_final_state(const std::string& id,
                                  workload::job_state state, base::instant now) {
+    remove_expired_ends(now);
     modify(id, [&](job_entry& entry) {
         if (!workload::is_terminal(entry.progress.state)) {
             entry.progress.state = state;
             entry.ended_at = now;
+            m_announced_ends.emplace_back(now, id);
         }
     });
 }
@@ -154,6 +158,18 @@
     }
 }
 
+void job_view::remove_expired_ends(base::instant now) {
+    while (!m_announced_ends.empty() &&
+           m_announced_ends.front().first + ended_jobs::retention <= now) {
+        auto [announced_at, id] = std::move(m_announced_ends.front());
+        m_announced_ends.pop_front();
+        auto found = m_jobs.find(id);
+        if (found != m_jobs.end() && found->second.ended_at == announced_at) {
+            erase_if_empty(id);
+        }
+    }
+}
+
 const job_entry* job_view::find(const std::string& id) const {
     auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -231,10 +231,11 @@
 }
 
 void cluster_service::remove_expired_jobs() {
+    auto now = base::monotonic_now();
+    m_job_view.remove_expired_ends(now);
     if (!m_scheduler) {
         return;
     }
-    auto now = base::monotonic_now();
     std::size_t removed = 0;
     for (const auto& [id, entry] : m_job_view.all()) {
         if (!workload::is_terminal(entry.progress.state) ||
--- a/tests/cluster/job_view_test.cpp
+++ b/tests/cluster/job_view_test.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslever/cluster/job_view.hpp"
 
+#include "eelgrasslever/cluster/ended_jobs.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 #include "fake_fleet.hpp"
 
@@ -75,6 +76,58 @@
     BOOST_TEST((view.find("j1")->progress.state == job_state::completed));
 }
 
+// An end may be announced after the watch has reported that its record is gone.
+// No change ever removed such an entry, and a leader asked the store in vain to
+// remove its record each second.
+BOOST_AUTO_TEST_CASE(an_announced_end_without_a_record_is_kept_for_a_time) {
+    job_view view;
+    view.apply_final_state("j1", job_state::completed, now);
+    auto other_record = [](base::milliseconds at) {
+        auto other = record(cluster::keys::job, encoded_job(), at.count());
+        other.key += "0";
+        return other;
+    };
+    auto kept = cluster::ended_jobs::retention - base::milliseconds(1);
+    view.apply(other_record(base::milliseconds(1)), now + kept);
+    BOOST_TEST((view.find("j1") != nullptr));
+    view.apply(other_record(base::milliseconds(2)),
+               now + cluster::ended_jobs::retention);
+    BOOST_TEST((view.find("j1") == nullptr));
+    BOOST_TEST(view.all().size() == 1u);
+}
+
+// The store's records decide how long a job with records is kept.
+BOOST_AUTO_TEST_CASE(an_announced_end_with_a_record_stays_until_it_is_removed) {
+    job_view view;
+    view.apply_final_state("j1", job_state::completed, now);
+    view.apply(record(cluster::keys::progress,
+                      encoded_progress(job_state::completed), 2),
+               now);
+    auto later = now + 2 * cluster::ended_jobs::retention;
+    view.apply_final_state("j2", job_state::completed, later);
+    BOOST_TEST((view.find("j1") != nullptr));
+    view.apply(removal(cluster::keys::progress, 3), later);
+    BOOST_TEST((view.find("j1") == nullptr));
+}
+
+// An end that is announced once more is as recent as that.
+BOOST_AUTO_TEST_CASE(an_end_that_is_announced_again_is_kept_anew) {
+    job_view view;
+    view.apply_final_state("j1", job_state::completed, now);
+    view.apply(record(cluster::keys::progress,
+                      encoded_progress(job_state::completed), 2),
+               now);
+    view.apply(removal(cluster::keys::progress, 3), now);
+    auto again = now + cluster::ended_jobs::retention / 2;
+    view.apply_final_state("j1", job_state::completed, again);
+    view.apply_final_state("j2", job_state::completed,
+                           now + cluster::ended_jobs::retention);
+    BOOST_TEST((view.find("j1") != nullptr));
+    view.apply_final_state("j3", job_state::completed,
+                           again + cluster::ended_jobs::retention);
+    BOOST_TEST((view.find("j1") == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(a_cancellation_alone_is_not_a_known_job) {
     job_view view;
     auto change = view.apply(record(cluster::keys::cancel, "1", 1), now);
