Log: what the leader goes by when a run is missing

It now names the token, the run's phase, whether it was seen, its age and what is left until the start's deadline (unknown for a start of an earlier leader).

--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -2,6 +2,7 @@
 #include "eelgrasslever/observe/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numbers>
 
@@ -36,6 +37,9 @@
 /// Fractional parts of its multiples fill an interval evenly.
 constexpr double golden_ratio = std::numbers::phi;
 
+constexpr std::array<const char*, 6> phase_names{
+    "recording", "inherited", "starting", "uncertain", "running", "stopping"};
+
 /// @return whether the reply shows that the order was not carried out. A
 /// refused connection counts as no reply.
 bool is_definite_rejection(order_status status) {
@@ -53,6 +57,12 @@
         });
 }
 
+/// @return whether the run is known to have been started.
+bool was_seen(const allocation& run) {
+    return run.confirmed_at != base::instant{} ||
+           run.last_seen_at != base::instant{};
+}
+
 /// @return whether a run that the endpoint neither has nor ended was never
 /// carried out there.
 bool was_never_started(const endpoint_state& endpoint, const allocation& run) {
@@ -470,11 +480,20 @@
         }
     }
     for (const run_key& key : missing) {
-        observe::log_event("run_missing",
-                           {{"task", workload::to_string(key.task)},
-                            {"run", std::to_string(key.run)},
-                            {"endpoint", endpoint.listing.id}});
         const allocation& run = endpoint.runs[key];
+        observe::log_event(
+            "run_missing",
+            {{"task", workload::to_string(key.task)},
+             {"run", std::to_string(key.run)},
+             {"endpoint", endpoint.listing.id},
+             {"token", std::to_string(token_for(endpoint))},
+             {"phase", phase_names.at(static_cast<std::size_t>(run.phase))},
+             {"seen", was_seen(run) ? "1" : "0"},
+             {"placed_ms_ago", std::to_string((now - run.started_at).count())},
+             {"start_left_ms",
+              run.start_expires == base::instant{}
+                  ? "unknown"
+                  : std::to_string((run.start_expires - now).count())}});
         std::string checkpoint = run.checkpoint;
         if (!run.lost_with.empty()) {
             count_crash(run.lost_with, {key, run.lost_after}, now);
