A start that nobody has seen stays an obligation until its deadline

Callers saw a task run twice at a time, or again after its recorded end: a leader sends a start that is late, the next leader's first answer doesn't show the run, the task is started elsewhere, the endpoint restarts and its next life carries out the late start.

Cause: the start was settled by what keeps it out of one life of the endpoint, a higher token or a confirmed stop. The next life knows neither.

Change: a run that is not known to have been started counts as missing only in a list that was asked for after its deadline (1.5 s), also after a confirmed stop. A successor doesn't know when the start was sent and counts from its election. Endpoints that don't tell their lives never come back under an id and are settled at once as before. A reply that the start was done now counts as proof in the phase stopping as well. The deadline moves to orders.hpp, unchanged.

It works since an endpoint restarts with another clock and without a token: time is the one bound that holds across lives, as long as orders are not later than the deadline.

Weighed: a successor's wait that covers a store call of its predecessor, too (2.7 s), comes near the 3 s after which work that could run counts as forgotten.

Cost: a start that is lost is repeated 1.5 to 2 s after it was sent, or after the election, where it was repeated at once.

--- a/include/eelgrasslever/cluster/orders.hpp
+++ b/include/eelgrasslever/cluster/orders.hpp
@@ -53,6 +53,11 @@
     bool draining{false};
 };
 
+/// The endpoint refuses a start that arrives later than this. Delayed orders at
+/// the deployments are carried out 2 s late or more; by then it is better to
+/// start the task elsewhere.
+inline constexpr base::milliseconds start_timeout{1500};
+
 struct start_order {
     task_key task;
     int run{0};
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -53,6 +53,7 @@
     return std::any_of(
         endpoint.runs.begin(), endpoint.runs.end(), [](const auto& row) {
             return row.second.phase == allocation_phase::uncertain ||
+                   row.second.phase == allocation_phase::inherited ||
                    row.second.phase == allocation_phase::stopping;
         });
 }
@@ -63,6 +64,14 @@
            run.last_seen_at != base::instant{};
 }
 
+/// @return whether the start of a run that the endpoint doesn't have may arrive
+/// after the renewal that shows this. The present life refuses it by its token
+/// or a stop, but the next one would carry it out.
+bool may_start_late(const endpoint_state& endpoint, const allocation& run) {
+    return parse_incarnation(endpoint.listing.id).started_at.has_value() &&
+           !was_seen(run) && run.start_expires >= endpoint.renewal_sent_at;
+}
+
 /// @return whether a run that the endpoint neither has nor ended was never
 /// carried out there.
 bool was_never_started(const endpoint_state& endpoint, const allocation& run) {
@@ -475,7 +484,7 @@
                  run.start_expires < endpoint.renewal_sent_at);
             break;
         }
-        if (is_missing) {
+        if (is_missing && !may_start_late(endpoint, run)) {
             missing.push_back(key);
         }
     }
@@ -833,9 +842,11 @@
     }
     auto& [endpoint, run] = *ordered;
     if (reply.status == order_status::done) {
+        if (run.confirmed_at == base::instant{}) {
+            run.confirmed_at = now;
+        }
         if (run.phase == allocation_phase::starting) {
             run.phase = allocation_phase::running;
-            run.confirmed_at = now;
             run.percent_changed_at = now;
             run.progress_since = now;
         }
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -19,6 +19,12 @@
 /// How long storing a placement may take before the task is placed again;
 /// the longest duration of a store call.
 constexpr base::milliseconds placement_record_timeout{1200};
+/// How long after the election the starts of the preceding leader may be
+/// carried out, on a slow clock. It sends them as soon as their placements are
+/// stored; that call isn't covered, as work that could run counts as forgotten
+/// after 3 s.
+constexpr base::milliseconds inherited_start_lifetime =
+    start_timeout * 103 / 100;
 /// Longest delay before the stored placement of a requeued task is removed.
 constexpr base::milliseconds requeue_record_delay{300};
 /// Pause before a task is started again after a failed run, and before a
@@ -87,6 +93,7 @@
                 run.need = spec.steps[s].need;
                 run.phase = allocation_phase::inherited;
                 run.start_confirmed_sequence = endpoint.order_sequence;
+                run.start_expires = m_term.since + inherited_start_lifetime;
                 run.started_at = now;
                 run.assumed_age = max_report_age;
                 run.percent_changed_at = now;
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// The endpoint refuses a start that arrives later than this. Delayed orders at
-/// the deployments are carried out 2 s late or more; by then it is better to
-/// start the task elsewhere.
-constexpr base::milliseconds start_timeout{1500};
 /// How soon work that is selected should find room. Tickets last 2 s at the
 /// deployments.
 constexpr base::milliseconds window_horizon{2000};
--- a/tests/cluster/restart_test.cpp
+++ b/tests/cluster/restart_test.cpp
@@ -56,6 +56,54 @@
     fake_fleet fleet;
 };
 
+/// Starts for the only endpoint that there is are late. Others appear
+/// afterwards, and it is given no more work.
+struct late_starts_fleet : restarting_fleet {
+    explicit late_starts_fleet(std::uint64_t seed,
+                               base::milliseconds max_lateness = 1450 *
+                                                                 millisecond)
+        : restarting_fleet(seed, late_orders(max_lateness)) {
+        fleet.task_duration = [](const auto&) { return 4 * second; };
+        fleet.elect_leader();
+        // No renewal is sent while orders are late.
+        fleet.run_for(1100 * millisecond);
+    }
+
+    static test::fleet_faults late_orders(base::milliseconds max_lateness) {
+        test::fleet_faults faults;
+        faults.vary_late_orders = true;
+        faults.max_lateness = max_lateness;
+        return faults;
+    }
+
+    void submit_late(int count) {
+        fleet.faults().late_order = 1.0;
+        fleet.submit(make_job("a", count, 1000));
+        fleet.run_for(60 * millisecond);
+        fleet.faults().late_order = 0.0;
+        fleet.drain_endpoint("e1");
+        for (int i = 0; i < 20; ++i) {
+            fleet.add_endpoint("f" + std::to_string(i), cores(64));
+        }
+    }
+
+    /// The leader of @p term learns of the restart when no order for the former
+    /// life is late any more.
+    void restart_unseen(std::uint64_t term) {
+        fleet.endpoint("e1").cut_off_from = {term};
+        fleet.restart_endpoint("e1", 0 * millisecond, 20 * second);
+        fleet.run_for(1500 * millisecond);
+        fleet.endpoint("e1").cut_off_from.clear();
+    }
+
+    void expect_single_runs() {
+        BOOST_TEST(fleet.run_until_jobs_end(60 * second));
+        BOOST_TEST(
+            (fleet.progress_of("a").state == workload::job_state::completed));
+        expect_no_violations(fleet);
+    }
+};
+
 /// Counts the log lines of each event.
 struct event_counter {
     event_counter() {
@@ -278,6 +326,46 @@
     }
 }
 
+// The next leader's first answer shows the start missing, and its token keeps
+// it out of that life. The life after would carry it out.
+BOOST_AUTO_TEST_CASE(start_that_a_successor_misses_is_not_given_up_too_early) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        late_starts_fleet test(seed);
+        test.submit_late(6);
+        test.fleet.elect_leader(50 * millisecond);
+        test.fleet.run_for(200 * millisecond);
+        test.restart_unseen(2);
+        test.expect_single_runs();
+    }
+}
+
+// A stop that was confirmed keeps the start out of that life only.
+BOOST_AUTO_TEST_CASE(start_that_was_stopped_is_not_given_up_too_early) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        late_starts_fleet test(seed);
+        test.submit_late(6);
+        test.fleet.run_for(1140 * millisecond);
+        test.restart_unseen(1);
+        test.expect_single_runs();
+    }
+}
+
+// The endpoint doesn't restart. The wait for the deadline must end with it.
+BOOST_AUTO_TEST_CASE(start_that_was_lost_is_repeated_after_its_deadline) {
+    for (bool elects : {false, true}) {
+        late_starts_fleet test(1, 60 * second);
+        test.submit_late(6);
+        if (elects) {
+            test.fleet.elect_leader(50 * millisecond);
+        }
+        test.fleet.run_for(1400 * millisecond);
+        BOOST_TEST(test.fleet.starts() == 0u);
+        test.fleet.run_for(600 * millisecond);
+        BOOST_TEST(test.fleet.starts() == 6u);
+        test.expect_single_runs();
+    }
+}
+
 // The new life, which proves the crash, is cut off for longer than its lease.
 // That it answers again says nothing of the former life.
 BOOST_AUTO_TEST_CASE(crash_counts_when_the_next_life_was_silent) {
