--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -2,6 +2,7 @@
 #include "eelgrasslever/observe/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numbers>
 
@@ -36,6 +37,9 @@
 /// Fractional parts of its multiples fill an interval evenly.
 constexpr double golden_ratio = std::numbers::phi;
 
+constexpr std::array<const char*, 6> phase_names{
+    "recording", "inherited", "starting", "uncertain", "running", "stopping"};
+
 /// @return whether the reply shows that the order was not carried out. A
 /// refused connection counts as no reply.
 bool is_definite_rejection(order_status status) {
@@ -49,10 +53,25 @@
     return std::any_of(
         endpoint.runs.begin(), endpoint.runs.end(), [](const auto& row) {
             return row.second.phase == allocation_phase::uncertain ||
+                   row.second.phase == allocation_phase::inherited ||
                    row.second.phase == allocation_phase::stopping;
         });
 }
 
+/// @return whether the run is known to have been started.
+bool was_seen(const allocation& run) {
+    return run.confirmed_at != base::instant{} ||
+           run.last_seen_at != base::instant{};
+}
+
+/// @return whether the start of a run that the endpoint doesn't have may arrive
+/// after the renewal that shows this. The present life refuses it by its token
+/// or a stop, but the next one would carry it out.
+bool may_start_late(const endpoint_state& endpoint, const allocation& run) {
+    return parse_incarnation(endpoint.listing.id).started_at.has_value() &&
+           !was_seen(run) && run.start_expires >= endpoint.renewal_sent_at;
+}
+
 /// @return whether a run that the endpoint neither has nor ended was never
 /// carried out there.
 bool was_never_started(const endpoint_state& endpoint, const allocation& run) {
@@ -465,16 +484,25 @@
                  run.start_expires < endpoint.renewal_sent_at);
             break;
         }
-        if (is_missing) {
+        if (is_missing && !may_start_late(endpoint, run)) {
             missing.push_back(key);
         }
     }
     for (const run_key& key : missing) {
-        observe::log_event("run_missing",
-                           {{"task", workload::to_string(key.task)},
-                            {"run", std::to_string(key.run)},
-                            {"endpoint", endpoint.listing.id}});
         const allocation& run = endpoint.runs[key];
+        observe::log_event(
+            "run_missing",
+            {{"task", workload::to_string(key.task)},
+             {"run", std::to_string(key.run)},
+             {"endpoint", endpoint.listing.id},
+             {"token", std::to_string(token_for(endpoint))},
+             {"phase", phase_names.at(static_cast<std::size_t>(run.phase))},
+             {"seen", was_seen(run) ? "1" : "0"},
+             {"placed_ms_ago", std::to_string((now - run.started_at).count())},
+             {"start_left_ms",
+              run.start_expires == base::instant{}
+                  ? "unknown"
+                  : std::to_string((run.start_expires - now).count())}});
         std::string checkpoint = run.checkpoint;
         if (!run.lost_with.empty()) {
             count_crash(run.lost_with, {key, run.lost_after}, now);
@@ -814,9 +842,11 @@
     }
     auto& [endpoint, run] = *ordered;
     if (reply.status == order_status::done) {
+        if (run.confirmed_at == base::instant{}) {
+            run.confirmed_at = now;
+        }
         if (run.phase == allocation_phase::starting) {
             run.phase = allocation_phase::running;
-            run.confirmed_at = now;
             run.percent_changed_at = now;
             run.progress_since = now;
         }
