Scheduler: a tick looks for endpoints and occurrences only where there may be some

Callers see no difference: the same decisions, for less processor time.

Change: the places that end an endpoint or remove a run of an ended one set a flag, without which there is nothing to forget; likewise for forgotten lives. It works as an endpoint becomes forgettable in these places only (`terminated` is set in one function now), and a forgotten life keeps the flag set until it is outdated or alive again.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -139,6 +139,7 @@
     };
 
     // Jobs.
+    void open_due_occurrences(base::instant now);
     void unlock_ready_steps(tracked_job& job, base::instant now);
     /// Schedules a write of the job's progress, no later than @p record_at.
     void schedule_record(tracked_job& job, base::instant record_at);
@@ -266,7 +267,10 @@
     /// @return likewise, on one endpoint.
     [[nodiscard]] base::instant
     earlier_leases_expiry_of(const std::string& endpoint) const;
+    /// Notes that no run is alive on the endpoint or ever will be.
+    void mark_terminated(endpoint_state& endpoint);
     void forget_terminated_endpoints(base::instant now);
+    void forget_old_lives(base::instant now);
     void renew_if_due(endpoint_state& endpoint, base::instant now);
     void stop_run(endpoint_state& endpoint, const run_key& key,
                   base::instant now);
@@ -450,6 +454,9 @@
         std::string ignored; ///< id of the last entry of a former life
     };
     std::map<std::string, latest_life> m_latest_lives; ///< by name
+    /// Some endpoint may be terminated and without runs.
+    bool m_may_forget_endpoints{false};
+    bool m_may_forget_lives{false}; ///< some life may have been forgotten
     /// At least the number of each life that isn't known any more.
     std::uint32_t m_next_life{0};
     lost_endpoints m_lost_endpoints;
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -53,12 +53,9 @@
         }
     }
     forget_terminated_endpoints(now);
-    for (auto& [id, job] : m_jobs) {
-        if (sweep && job.execution->job().repeat_count > 0 &&
-            !job.execution->has_ended() &&
-            job.execution->open_due_occurrences(wall, now)) {
-            unlock_ready_steps(job, now);
-        }
+    forget_old_lives(now);
+    if (sweep) {
+        open_due_occurrences(now);
     }
     if (!allowed.order) {
         return;
@@ -82,6 +79,16 @@
     }
 }
 
+void scheduler::open_due_occurrences(base::instant now) {
+    for (auto& [id, job] : m_jobs) {
+        if (job.execution->job().repeat_count > 0 &&
+            !job.execution->has_ended() &&
+            job.execution->open_due_occurrences(m_wall, now)) {
+            unlock_ready_steps(job, now);
+        }
+    }
+}
+
 void scheduler::set_channels(const std::vector<std::string>& vms,
                              base::instant now) {
     m_advice_calls.set_channels(vms, now);
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <utility>
 
 namespace eelgrasslever::cluster {
 
@@ -189,7 +190,7 @@
     if (reply.status == order_status::other_incarnation) {
         observe::log_event("endpoint_gone",
                            {{"endpoint", id}, {"why", "other incarnation"}});
-        endpoint.terminated = true;
+        mark_terminated(endpoint);
         drop_all_runs(endpoint, loss_cause::other_incarnation, now);
         return;
     }
@@ -266,6 +267,7 @@
             dominant_share(found->second.need, m_usable_total);
     }
     endpoint.runs.erase(found);
+    m_may_forget_endpoints |= endpoint.terminated;
     if (endpoint.trial == key) {
         endpoint.trial.reset();
     }
@@ -579,6 +581,11 @@
     return result;
 }
 
+void scheduler::mark_terminated(endpoint_state& endpoint) {
+    endpoint.terminated = true;
+    m_may_forget_endpoints = true;
+}
+
 void scheduler::forget_terminated_endpoints(base::instant now) {
     std::erase_if(m_forgotten_endpoints, [&](const auto& row) {
         return now - row.second > forgotten_endpoint_retention;
@@ -587,6 +594,10 @@
          m_lost_endpoints.take_before(now - forgotten_endpoint_retention)) {
         forget_lost_runs(lost.runs, now);
     }
+    // Each tick comes here, and hardly ever is there an endpoint to forget.
+    if (!std::exchange(m_may_forget_endpoints, false)) {
+        return;
+    }
     std::erase_if(m_endpoints, [&](const auto& row) {
         bool forgotten = row.second.terminated && row.second.runs.empty();
         if (forgotten) {
@@ -596,10 +607,18 @@
             auto latest = m_latest_lives.find(life.name);
             if (latest != m_latest_lives.end() && latest->second.life == life) {
                 latest->second.forgotten_at = now;
+                m_may_forget_lives = true;
             }
         }
         return forgotten;
     });
+}
+
+void scheduler::forget_old_lives(base::instant now) {
+    if (!m_may_forget_lives) {
+        return;
+    }
+    m_may_forget_lives = false;
     std::erase_if(m_latest_lives, [&](const auto& row) {
         const latest_life& latest = row.second;
         bool outdated = latest.forgotten_at && now - *latest.forgotten_at >
@@ -607,6 +626,7 @@
         if (outdated) {
             m_next_life = std::max(m_next_life, latest.number);
         }
+        m_may_forget_lives |= latest.forgotten_at && !outdated;
         return outdated;
     });
 }
@@ -624,7 +644,7 @@
         endpoint.inventoried = false;
     }
     if (!endpoint.listed) {
-        endpoint.terminated = true;
+        mark_terminated(endpoint);
         m_health.forget(endpoint.listing.id);
     }
 }
@@ -655,6 +675,7 @@
           std::to_string((lease_expiry_of(endpoint) - now).count())}});
     auto runs = std::move(endpoint.runs);
     endpoint.runs.clear();
+    m_may_forget_endpoints |= endpoint.terminated;
     endpoint.used = {};
     endpoint.trial.reset();
     std::vector<lost_run> suspects;
@@ -865,7 +886,7 @@
     cancel_start(key);
     requeue_task(order.task, order.run, "", now);
     if (reply.status == order_status::other_incarnation) {
-        endpoint.terminated = true;
+        mark_terminated(endpoint);
         drop_all_runs(endpoint, loss_cause::other_incarnation, now);
     }
 }
--- a/src/cluster/scheduler_lives.cpp
+++ b/src/cluster/scheduler_lives.cpp
@@ -113,7 +113,7 @@
         adjust_live_runs(key.task, -1);
         carry_over(next, key, std::move(run), now);
     }
-    former.terminated = true;
+    mark_terminated(former);
     m_health.forget(former.listing.id);
     if (proven) {
         drop_all_runs(former, loss_cause::other_incarnation, now);
