Scheduler: the releases of an endpoint are worked out once a pass

Callers see no difference: the same decisions, for less processor time.

Change: the endpoint keeps the list for the pass that it was worked out in; a run that is placed or released in the same pass drops it. It works as within a pass nothing else changes the runs or their expected ends, and another pass has another number. The list is asked for in passes only.

--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -121,6 +121,10 @@
     bool inventoried{false};
     bool terminated{false}; ///< no run is alive there or ever will be
     std::map<run_key, allocation> runs;
+    /// `expected_releases`, worked out once for all steps of a pass.
+    std::vector<expected_release> releases;
+    /// The placement pass that they are of; 0: the runs have changed since.
+    std::uint64_t releases_in{0};
     base::resources used;
     /// Room claimed by the steps that the present placement pass has examined.
     base::resources claimed;
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -426,6 +426,10 @@
                                   step_execution& step, int missing,
                                   base::instant now);
     void apply_pending_claims(const step_execution& step);
+    /// @return `expected_releases`, worked out at most once in a pass unless
+    /// the endpoint's runs change.
+    const std::vector<expected_release>& releases_of(endpoint_state& endpoint,
+                                                     base::instant now) const;
     /// @param share of the fleet that a gang needs.
     /// @return how long the gang may take to gather its room.
     [[nodiscard]] static base::milliseconds gathering_time(double share);
--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -79,8 +79,8 @@
         if (found == idle) {
             continue;
         }
-        const endpoint_state& endpoint = *m_endpoints_by_number[it.number];
-        for (const expected_release& next : endpoint.expected_releases(now)) {
+        endpoint_state& endpoint = *m_endpoints_by_number[it.number];
+        for (const expected_release& next : releases_of(endpoint, now)) {
             available += next.amount;
             int fits = tasks_that_fit(spec.need, available, idle);
             for (; found < fits; ++found) {
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -267,6 +267,7 @@
             dominant_share(found->second.need, m_usable_total);
     }
     endpoint.runs.erase(found);
+    endpoint.releases_in = 0;
     m_may_forget_endpoints |= endpoint.terminated;
     if (endpoint.trial == key) {
         endpoint.trial.reset();
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -303,6 +303,15 @@
     return m_limits.urgent_headroom * std::clamp(busy, 0.0, 1.0);
 }
 
+const std::vector<expected_release>&
+scheduler::releases_of(endpoint_state& endpoint, base::instant now) const {
+    if (endpoint.releases_in != m_pass) {
+        endpoint.releases = endpoint.expected_releases(now);
+        endpoint.releases_in = m_pass;
+    }
+    return endpoint.releases;
+}
+
 endpoint_state& scheduler::endpoint_by_id(std::string_view id) {
     return m_endpoints.find(id)->second;
 }
@@ -624,6 +633,7 @@
     endpoint.used += spec.need;
     m_usable_used += spec.need;
     endpoint.runs[{key, run}] = allocated;
+    endpoint.releases_in = 0;
     adjust_live_runs(key, 1);
     observe::log_event(
         "task_placed",
