Scheduler: endpoints that a step can't use cost it less

Callers see no difference: the same decisions, for less processor time.

Two fifths of that were gangs and other steps that looked through all endpoints that admit them for valid tickets, in each pass, while mostly none is valid; two fifths the search for endpoints to ask about, with two look-ups for each usable one.

Change: a step knows how long its tickets last at most, and looks for one only until then. Endpoints that have rejected the step are passed over first, since more do than admit it. The part of an endpoint that is kept for urgent work is worked out only where some is; the list of candidates gets its memory at once; whether one task fits is answered without a division. It works as a ticket's end is set where the new bound is, and otherwise only moved forward to the present.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -59,6 +59,7 @@
 struct step_advice {
     std::unordered_map<std::uint32_t, ticket> admitted;
     std::unordered_set<std::uint32_t> rejected;
+    base::instant last_valid_until{}; ///< no ticket is valid for longer
     bool call_in_flight{false};
     int renewals{0};                 ///< calls for new tickets of a gang
     base::instant next_renewal_at{}; ///< earliest next one
--- a/src/cluster/fit.cpp
+++ b/src/cluster/fit.cpp
@@ -17,6 +17,10 @@
     if (available < need) {
         return 0;
     }
+    // Most callers ask for one task, which needs no division.
+    if (limit <= 1) {
+        return limit;
+    }
     return static_cast<int>(std::min<std::int64_t>(limit, available / need));
 }
 
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -295,6 +295,8 @@
         return;
     }
     auto until = now + queue.advice->ticket_lifetime - ticket_margin;
+    step->advice.last_valid_until =
+        std::max(step->advice.last_valid_until, until);
     m_statistics.queues[queue.name].tickets_issued += reply.admitted.size();
     step->advice.next_call_at =
         now + call_pause_factor *
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -47,9 +47,10 @@
 constexpr double max_trial_share = 0.2;
 
 bool has_ticket(const step_advice& advice, base::instant now) {
-    return std::any_of(
-        advice.admitted.begin(), advice.admitted.end(),
-        [&](const auto& row) { return row.second.valid_until > now; });
+    return advice.last_valid_until > now &&
+           std::any_of(
+               advice.admitted.begin(), advice.admitted.end(),
+               [&](const auto& row) { return row.second.valid_until > now; });
 }
 
 } // namespace
@@ -333,20 +334,21 @@
     const workload::job& job_spec = job.execution->job();
     const workload::step& step_spec =
         job_spec.steps[static_cast<std::size_t>(rank.step)];
-    double headroom = headroom_for(rank, step_spec.need, step);
+    double kept_places = headroom_for(rank, step_spec.need, step) *
+                         static_cast<double>(m_usable.size());
     std::vector<fit_candidate> result;
     auto consider = [&](const endpoint_state& endpoint) {
         if (endpoint.listing.service != job_spec.queue.service ||
             endpoint.is_on_trial(now)) {
             return;
         }
-        double reserved =
-            std::clamp(headroom * static_cast<double>(m_usable.size()) -
-                           static_cast<double>(endpoint.reserve_rank),
-                       0.0, 1.0);
+        auto place = static_cast<double>(endpoint.reserve_rank);
         base::resources idle = endpoint.listing.capacity;
-        idle.cpu_milli -= static_cast<std::int64_t>(
-            static_cast<double>(idle.cpu_milli) * reserved);
+        if (place < kept_places) {
+            double reserved = std::min(kept_places - place, 1.0);
+            idle.cpu_milli -= static_cast<std::int64_t>(
+                static_cast<double>(idle.cpu_milli) * reserved);
+        }
         if (tasks_that_fit(step_spec.need, idle, 1) < 1) {
             return;
         }
@@ -379,14 +381,20 @@
     };
     bool needs_ticket = filter == candidate_filter::with_ticket;
     bool known_only = needs_ticket || filter == candidate_filter::admitted;
+    if (job_spec.queue.advice && needs_ticket &&
+        step.advice.last_valid_until <= now) {
+        return result;
+    }
     if (!job_spec.queue.advice) {
         if (known_only) {
+            result.reserve(m_usable.size());
             std::for_each(m_usable.begin(), m_usable.end(),
                           [&](const auto* endpoint) { consider(*endpoint); });
         }
         return result;
     }
     if (known_only) {
+        result.reserve(step.advice.admitted.size());
         for (const auto& [number, ticket] : step.advice.admitted) {
             const endpoint_state* endpoint = m_endpoints_by_number[number];
             if ((!needs_ticket || ticket.valid_until > now) &&
@@ -396,13 +404,18 @@
         }
         return result;
     }
+    result.reserve(m_usable.size());
     for (const endpoint_state* endpoint : m_usable) {
+        // Looked up first, as more endpoints reject a step than admit it.
+        if (step.advice.rejected.contains(endpoint->number)) {
+            continue;
+        }
         auto ticket = step.advice.admitted.find(endpoint->number);
         bool admitted = ticket != step.advice.admitted.end();
         bool excluded = filter == candidate_filter::unknown
                             ? admitted
                             : admitted && ticket->second.valid_until > now;
-        if (!excluded && !step.advice.rejected.contains(endpoint->number)) {
+        if (!excluded) {
             consider(*endpoint);
         }
     }
