Select wide gangs as early as gathering their room takes

Callers saw that the widest gangs are overdue before they have their room.

Cause: a gang is selected by its latest start less a lead that grows with its width, 1.2 s for 3% of the fleet. A call for advice alone takes 1.2 s, and the room of a gang on the endpoints that admit it comes free over several seconds, so it was selected when it could no longer be in time.

Change: the lead, and the time within which a gang reserves room, are 1.6 s for each 1% of the fleet (0.4 s before). Reservations leave their room to shorter work meanwhile.

--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -37,7 +37,7 @@
 
 /// Time in which a gang would gather the room of the whole fleet. Wider gangs
 /// need longer, so they are selected earlier.
-constexpr base::milliseconds fleet_gathering_time{40'000};
+constexpr base::milliseconds fleet_gathering_time{160'000};
 
 } // namespace
 
