--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -63,6 +63,7 @@
     : task_duration([](const task_key&) { return milliseconds(500); }),
       admits([](const task_key&, const std::string&) { return true; }),
       advice_duration([](const cluster::advice_call&) { return advice_delay; }),
+      answers_advice([](const std::string&) { return true; }),
       fails([](const task_key&) { return false; }),
       crashes_after([](const task_key&) { return std::nullopt; }),
       m_random(seed), m_faults(faults) {}
@@ -842,10 +843,20 @@
     });
 }
 
-void fake_fleet::ask_advice(const std::string&,
+void fake_fleet::ask_advice(const std::string& channel,
                             const cluster::advice_call& call) {
     std::uint64_t term = m_acting_term;
-    schedule(advice_duration(call), [this, call, term] {
+    milliseconds duration = advice_duration(call);
+    bool answered = answers_advice(channel) &&
+                    !(advice_times_out && duration > call.timeout);
+    if (!answered) {
+        schedule(call.timeout, [this, query = call.query, term] {
+            tell(term,
+                 [&](auto& leader) { leader.on_advice(query, {}, m_now); });
+        });
+        return;
+    }
+    schedule(duration, [this, call, term] {
         cluster::advice_reply out;
         out.answered = true;
         for (const std::string& id : call.candidates) {
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -170,6 +170,10 @@
     std::function<bool(const workload::task_key&, const std::string&)> admits;
     /// How long the advice service takes for a call.
     std::function<milliseconds(const cluster::advice_call&)> advice_duration;
+    /// Whether a call is answered that a VM makes. If not, or later than the
+    /// call's timeout, the leader learns at the timeout that it failed.
+    std::function<bool(const std::string& channel)> answers_advice;
+    bool advice_times_out{false};
     /// Whether a run fails, in addition to the share in `fleet_faults`.
     std::function<bool(const workload::task_key&)> fails;
     /// How long after its start a run crashes its endpoint, if it does.
