Other VMs pass the leader's orders on

Cause: each start takes a call for its order and one or two renewals, and one VM made all of them, while the other 96 used 0.007 core each.

Change: a leader of 100 endpoints or more sends its orders in frames to one VM for each 48 endpoints, of the endpoint's failure domain where there is one. A repeated start or stop whose reply doesn't settle the first try counts as unanswered, by the rule that the HTTP client's own repetitions have. VMs of former versions don't say that they carry, and get none.

--- a/include/eelgrasslever/cluster/orders.hpp
+++ b/include/eelgrasslever/cluster/orders.hpp
@@ -98,6 +98,13 @@
 
 [[nodiscard]] const char* to_string(order_status value);
 
+/// @return whether the status is true of an order whatever became of an earlier
+/// try.
+[[nodiscard]] constexpr bool settles_repeated_order(order_status status) {
+    return status == order_status::done || status == order_status::fenced ||
+           status == order_status::other_incarnation;
+}
+
 struct order_reply {
     order_status status{order_status::unreachable};
     std::optional<endpoint_time> clock;
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -15,6 +15,8 @@
 #include "eelgrasslever/observe/metrics.hpp"
 #include "eelgrasslever/service/gateways.hpp"
 #include "eelgrasslever/service/member_table.hpp"
+#include "eelgrasslever/service/order_carrier.hpp"
+#include "eelgrasslever/service/order_relay.hpp"
 #include "eelgrasslever/service/request_router.hpp"
 
 #include <functional>
@@ -178,6 +180,8 @@
     /// Passes the current members to the router, the election and the
     /// scheduler.
     void update_members();
+    /// Chooses the VMs that pass this leader's orders on.
+    void update_carriers();
     /// Hands leadership over if a VM with far more cores is available.
     void evaluate_handover();
     void handle_advice_request(const std::string& reply_address,
@@ -229,7 +233,8 @@
     kernel::loop& m_owner;
     cluster_options m_options;
     coordination::monitored_store m_store;
-    endpoint_gateway& m_endpoints;
+    order_relay m_orders;    ///< to endpoints, by this VM as the leader
+    order_carrier m_carrier; ///< of other leaders' orders
     advice_gateway& m_advice;
     external_records m_external_records;
     observe::metrics& m_metrics;
--- a/include/eelgrasslever/service/member_table.hpp
+++ b/include/eelgrasslever/service/member_table.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "eelgrasslever/base/time.hpp"
+#include "eelgrasslever/service/order_relay.hpp"
 
 #include <map>
 #include <optional>
@@ -19,6 +20,8 @@
     /// Whether the VM follows the jobs and has loaded them, so that it can
     /// lead.
     bool loaded{false};
+    /// Whether the VM passes orders on for the leader.
+    bool carries_orders{false};
 };
 
 /// Tracks the VMs of the cluster and compares their processor shares. The VM
@@ -113,6 +116,9 @@
     /// @return the peer address of every other listed VM, keyed by VM name.
     [[nodiscard]] std::map<std::string, std::string> peer_addresses() const;
     [[nodiscard]] std::size_t size() const { return m_live.size(); }
+    /// @return up to @p count other VMs that pass orders on, spread evenly over
+    /// the failure domains, those with the most cores of each.
+    [[nodiscard]] std::vector<carrier> carriers(std::size_t count) const;
     /// @return for how long news for all other VMs are gathered before they are
     /// sent, so that messages per second don't grow with the number of VMs.
     [[nodiscard]] base::milliseconds notice_interval() const;
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -5,6 +5,7 @@
 #include "eelgrasslever/base/answer.hpp"
 #include "eelgrasslever/base/resources.hpp"
 #include "eelgrasslever/base/time.hpp"
+#include "eelgrasslever/cluster/orders.hpp"
 
 #include <cstdint>
 #include <map>
@@ -182,11 +183,43 @@
     base::milliseconds others_left{0}; ///< likewise, of all other endpoints
 };
 
+/// An order of the leader that the receiver sends to an endpoint on its behalf.
+struct relayed_order {
+    std::uint64_t id{0};  ///< chosen by the leader, unique within all its terms
+    std::string endpoint; ///< id of the life that the order is for
+    std::string address;  ///< "IP:port" of the endpoint
+    cluster::fencing_token token{0};
+    std::variant<cluster::start_order, cluster::stop_order,
+                 cluster::renew_order>
+        order;
+};
+
+/// Orders that the receiver passes on. It sends them at once or not at all, and
+/// acknowledges every batch with a `reply_batch`.
+struct order_batch {
+    std::uint64_t sequence{0}; ///< increases with each batch to the receiver
+    std::vector<relayed_order> orders;
+};
+
+/// How an endpoint replied to a `relayed_order`. A reply to a start or a stop
+/// has no lists. The status is `not_sent` if the carrier did not pass it on.
+struct relayed_reply {
+    std::uint64_t id{0};
+    cluster::renew_reply reply;
+};
+
+/// Replies to the orders of one or more batches.
+struct reply_batch {
+    std::uint64_t received{0}; ///< highest sequence of a batch received so far
+    std::vector<relayed_reply> replies;
+};
+
 using message =
     std::variant<heartbeat, holdings, document, locate_request, locate_response,
                  request_result, forward, cancel, advice_request,
                  advice_response, job_request, job_response,
-                 accepted_job_notice, completion_notice, lease_report>;
+                 accepted_job_notice, completion_notice, lease_report,
+                 order_batch, reply_batch>;
 
 /// A message and its sender ("VM@incarnation").
 struct envelope {
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -66,8 +66,20 @@
                                  external_records records,
                                  observe::metrics& metrics)
     : m_owner(owner), m_options(std::move(options)), m_store(store),
-      m_endpoints(endpoints), m_advice(advice),
-      m_external_records(std::move(records)), m_metrics(metrics),
+      m_orders(
+          owner, endpoints,
+          [this](const std::string& address, wire::message content) {
+              send_to_peer(address, std::move(content));
+          },
+          metrics),
+      m_carrier(
+          owner, endpoints,
+          [this](const std::string& address, wire::message content) {
+              send_to_peer(address, std::move(content));
+          },
+          metrics),
+      m_advice(advice), m_external_records(std::move(records)),
+      m_metrics(metrics),
       m_job_committer(std::make_shared<coordination::committer>(
           owner, m_store, job_commit_interval)),
       m_job_service(std::make_shared<cluster::job_service>(
@@ -96,6 +108,7 @@
                           [this] {
                               remove_expired_jobs();
                               evaluate_handover();
+                              update_carriers();
                               send_lease_report();
                               log_work_summary();
                           }),
@@ -310,6 +323,7 @@
         }
     }
     m_reported_leases.reset();
+    m_orders.begin_term(m_leadership->term);
     update_members();
     m_cluster_watcher->set_batch_delay(leader_batch_delay);
     for (const auto& [name, listing] : m_endpoint_listings) {
@@ -345,6 +359,7 @@
         m_led_until = base::monotonic_now();
     }
     m_leadership.reset();
+    m_orders.end_term();
     m_following_timer.start_once(base::milliseconds(0));
     m_registry_watcher->stop();
     m_cluster_watcher->set_batch_delay(cluster_watcher_timing.batch_delay);
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -44,7 +44,7 @@
         return;
     }
     m_metrics.add("starts_ordered");
-    m_endpoints.start(
+    m_orders.start(
         endpoint, token, order,
         [this, id = endpoint.id, order, generation = m_leadership_generation,
          sent_at = base::monotonic_now()](const cluster::order_reply& reply) {
@@ -60,7 +60,7 @@
                            cluster::fencing_token token,
                            const cluster::stop_order& order) {
     m_metrics.add("stops_ordered");
-    m_endpoints.stop(
+    m_orders.stop(
         endpoint, token, order,
         [this, id = endpoint.id, order, generation = m_leadership_generation,
          sent_at = base::monotonic_now()](const cluster::order_reply& reply) {
@@ -85,7 +85,7 @@
                             cluster::fencing_token token,
                             const cluster::renew_order& order,
                             bool fresh_connection) {
-    m_endpoints.renew(
+    m_orders.renew(
         endpoint, token, order, fresh_connection,
         [this, id = endpoint.id, generation = m_leadership_generation](
             const cluster::renew_reply& reply) {
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -16,6 +16,12 @@
 /// expired: one lease, and the time for which an earlier leader may have gone
 /// on.
 constexpr base::milliseconds lease_report_period{13'000};
+/// A leader of fewer endpoints calls them itself: a carrier is one more VM that
+/// may fail while it holds orders.
+constexpr std::size_t min_relayed_endpoints = 100;
+/// At two starts a second for each endpoint a carrier makes some 250 calls a
+/// second, a fifth of what the smallest VM can make.
+constexpr std::size_t endpoints_per_carrier = 48;
 
 } // namespace
 
@@ -23,7 +29,8 @@
     return nlohmann::json{{"peer", m_options.peer_address},
                           {"cores", m_options.cores},
                           {"fd", m_options.failure_domain},
-                          {"loaded", m_has_loaded_jobs}}
+                          {"loaded", m_has_loaded_jobs},
+                          {"carries", true}}
         .dump();
 }
 
@@ -40,7 +47,8 @@
     if (!change.deleted && entry) {
         m_members.put(vm,
                       {entry->value("peer", ""), entry->value("cores", 0.0),
-                       entry->value("fd", ""), entry->value("loaded", false)},
+                       entry->value("fd", ""), entry->value("loaded", false),
+                       entry->value("carries", false)},
                       now);
     } else {
         m_members.remove(vm, now);
@@ -169,9 +177,22 @@
     m_following_timer.start_once(base::milliseconds(0));
     if (m_scheduler) {
         m_scheduler->set_channels(m_members.vm_names(), now);
+        update_carriers();
     }
 }
 
+void cluster_service::update_carriers() {
+    if (!m_scheduler) {
+        return;
+    }
+    std::size_t endpoints = m_endpoint_listings.size();
+    std::size_t count =
+        endpoints < min_relayed_endpoints
+            ? 0
+            : (endpoints + endpoints_per_carrier - 1) / endpoints_per_carrier;
+    m_orders.set_carriers(m_members.carriers(count));
+}
+
 void cluster_service::evaluate_handover() {
     auto now = base::monotonic_now();
     m_election->set_low_priority(m_members.is_outranked(now));
@@ -193,6 +214,14 @@
 }
 
 void cluster_service::on_peer_message(daemon::peer_message_received&& message) {
+    if (auto* replies = std::get_if<wire::reply_batch>(&message.content)) {
+        m_orders.on_replies(message.from, std::move(*replies));
+        return;
+    }
+    if (const auto* orders = std::get_if<wire::order_batch>(&message.content)) {
+        m_carrier.on_orders(message.from, *orders);
+        return;
+    }
     kernel::activity measured(m_owner, activities::peers);
     if (const auto* advice_request =
             std::get_if<wire::advice_request>(&message.content)) {
--- a/src/service/member_table.cpp
+++ b/src/service/member_table.cpp
@@ -163,6 +163,36 @@
     return names;
 }
 
+std::vector<carrier> member_table::carriers(std::size_t count) const {
+    using row = std::pair<const std::string, live_member>;
+    std::vector<const row*> able;
+    for (const row& each : m_live) {
+        const member& entry = each.second.entry;
+        if (each.first != m_self && entry.carries_orders &&
+            !entry.peer_address.empty()) {
+            able.push_back(&each);
+        }
+    }
+    std::stable_sort(able.begin(), able.end(), [](const row* a, const row* b) {
+        return a->second.entry.cores > b->second.entry.cores;
+    });
+    std::map<std::string, std::size_t> in_domain;
+    std::multimap<std::size_t, const row*> by_rank;
+    for (const row* each : able) {
+        by_rank.emplace(in_domain[each->second.entry.failure_domain]++, each);
+    }
+    std::vector<carrier> result;
+    for (const auto& [rank, each] : by_rank) {
+        if (result.size() == count) {
+            break;
+        }
+        const member& entry = each->second.entry;
+        result.push_back(
+            {each->first, entry.peer_address, entry.failure_domain});
+    }
+    return result;
+}
+
 base::milliseconds member_table::notice_interval() const {
     constexpr std::size_t milliseconds_per_second = 1000;
     base::milliseconds spread(m_live.size() * milliseconds_per_second /
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -156,6 +156,111 @@
     return {schema::Content_LeaseReport, out.Union()};
 }
 
+enum class order_kind : std::uint8_t { start, stop, renew };
+
+Offset<schema::RelayedOrder> pack_order(FlatBufferBuilder& to,
+                                        const relayed_order& in) {
+    auto endpoint = to.CreateString(in.endpoint);
+    auto address = to.CreateString(in.address);
+    if (const auto* renewal = std::get_if<cluster::renew_order>(&in.order)) {
+        schema::RelayedOrderBuilder out(to);
+        out.add_id(in.id);
+        out.add_endpoint(endpoint);
+        out.add_address(address);
+        out.add_token(in.token);
+        out.add_kind(static_cast<std::uint8_t>(order_kind::renew));
+        out.add_completions_recorded(renewal->completions_recorded);
+        out.add_renews_lease(renewal->lease_until.has_value());
+        out.add_lease_until_ms(
+            renewal->lease_until.value_or(cluster::endpoint_time(0)).count());
+        out.add_wait_ms(renewal->wait.count());
+        return out.Finish();
+    }
+    const auto* start = std::get_if<cluster::start_order>(&in.order);
+    const auto* stop = std::get_if<cluster::stop_order>(&in.order);
+    const cluster::task_key& task = start != nullptr ? start->task : stop->task;
+    auto job = to.CreateString(task.job);
+    Offset<flatbuffers::String> payload;
+    Offset<flatbuffers::String> checkpoint;
+    Offset<flatbuffers::String> ticket;
+    if (start != nullptr) {
+        payload = to.CreateString(start->payload);
+        checkpoint = to.CreateString(start->checkpoint);
+        ticket = to.CreateString(start->ticket);
+    }
+    schema::RelayedOrderBuilder out(to);
+    out.add_id(in.id);
+    out.add_endpoint(endpoint);
+    out.add_address(address);
+    out.add_token(in.token);
+    out.add_kind(static_cast<std::uint8_t>(
+        start != nullptr ? order_kind::start : order_kind::stop));
+    out.add_job(job);
+    out.add_occurrence(task.occurrence);
+    out.add_step(task.step);
+    out.add_index(task.index);
+    out.add_run(start != nullptr ? start->run : stop->run);
+    if (start != nullptr) {
+        out.add_payload(payload);
+        out.add_start_before_ms(start->start_before.count());
+        out.add_checkpoint(checkpoint);
+        out.add_ticket(ticket);
+    }
+    return out.Finish();
+}
+
+packed pack(FlatBufferBuilder& to, const order_batch& in) {
+    std::vector<Offset<schema::RelayedOrder>> rows;
+    rows.reserve(in.orders.size());
+    for (const relayed_order& each : in.orders) {
+        rows.push_back(pack_order(to, each));
+    }
+    auto orders = to.CreateVector(rows);
+    return {schema::Content_OrderBatch,
+            schema::CreateOrderBatch(to, in.sequence, orders).Union()};
+}
+
+Offset<schema::RelayedReply> pack_reply(FlatBufferBuilder& to,
+                                        const relayed_reply& in) {
+    const cluster::renew_reply& reply = in.reply;
+    std::vector<Offset<schema::RunningTask>> running_rows;
+    for (const cluster::running_task& each : reply.running) {
+        auto job = to.CreateString(each.task.job);
+        auto checkpoint = to.CreateString(each.checkpoint);
+        running_rows.push_back(schema::CreateRunningTask(
+            to, job, each.task.occurrence, each.task.step, each.task.index,
+            each.run, checkpoint, each.percent));
+    }
+    std::vector<Offset<schema::FinishedTask>> finished_rows;
+    for (const cluster::finished_task& each : reply.finished) {
+        auto job = to.CreateString(each.task.job);
+        auto checkpoint = to.CreateString(each.checkpoint);
+        finished_rows.push_back(schema::CreateFinishedTask(
+            to, each.sequence, job, each.task.occurrence, each.task.step,
+            each.task.index, each.run, static_cast<std::uint8_t>(each.outcome),
+            checkpoint));
+    }
+    auto answered_by = to.CreateString(reply.answered_by);
+    auto running = to.CreateVector(running_rows);
+    auto finished = to.CreateVector(finished_rows);
+    return schema::CreateRelayedReply(
+        to, in.id, static_cast<std::uint8_t>(reply.status),
+        reply.clock.has_value(),
+        reply.clock.value_or(cluster::endpoint_time(0)).count(), answered_by,
+        running, finished, reply.finished_truncated);
+}
+
+packed pack(FlatBufferBuilder& to, const reply_batch& in) {
+    std::vector<Offset<schema::RelayedReply>> rows;
+    rows.reserve(in.replies.size());
+    for (const relayed_reply& each : in.replies) {
+        rows.push_back(pack_reply(to, each));
+    }
+    auto replies = to.CreateVector(rows);
+    return {schema::Content_ReplyBatch,
+            schema::CreateReplyBatch(to, in.received, replies).Union()};
+}
+
 std::string text(const flatbuffers::String* in) {
     return in == nullptr ? std::string() : in->str();
 }
@@ -257,6 +362,112 @@
     return out;
 }
 
+template <typename Row>
+cluster::task_key unpack_task(const Row& in) {
+    return {text(in.job()), in.occurrence(), in.step(), in.index()};
+}
+
+/// @return nothing if the order is of a kind that a newer version added.
+std::optional<relayed_order> unpack_order(const schema::RelayedOrder& in) {
+    relayed_order out{
+        in.id(), text(in.endpoint()), text(in.address()), in.token(), {}};
+    switch (static_cast<order_kind>(in.kind())) {
+    case order_kind::start:
+        out.order = cluster::start_order{
+            unpack_task(in),       in.run(),
+            text(in.payload()),    cluster::endpoint_time(in.start_before_ms()),
+            text(in.checkpoint()), text(in.ticket())};
+        return out;
+    case order_kind::stop:
+        out.order = cluster::stop_order{unpack_task(in), in.run()};
+        return out;
+    case order_kind::renew: {
+        cluster::renew_order renewal;
+        renewal.completions_recorded = in.completions_recorded();
+        if (in.renews_lease()) {
+            renewal.lease_until = cluster::endpoint_time(in.lease_until_ms());
+        }
+        renewal.wait = base::milliseconds(in.wait_ms());
+        out.order = renewal;
+        return out;
+    }
+    }
+    return std::nullopt;
+}
+
+std::optional<message> unpack(const schema::OrderBatch& in) {
+    order_batch out;
+    out.sequence = in.sequence();
+    if (in.orders() == nullptr) {
+        return out;
+    }
+    out.orders.reserve(in.orders()->size());
+    for (const schema::RelayedOrder* row : *in.orders()) {
+        auto order = unpack_order(*row);
+        if (!order) {
+            return std::nullopt;
+        }
+        out.orders.push_back(*std::move(order));
+    }
+    return out;
+}
+
+/// @return nothing if the status or an outcome is not known.
+std::optional<relayed_reply> unpack_reply(const schema::RelayedReply& in) {
+    if (in.status() >
+        static_cast<std::uint8_t>(cluster::order_status::unreachable)) {
+        return std::nullopt;
+    }
+    relayed_reply out;
+    out.id = in.id();
+    cluster::renew_reply& reply = out.reply;
+    reply.status = static_cast<cluster::order_status>(in.status());
+    reply.answered_by = text(in.answered_by());
+    if (in.has_clock()) {
+        reply.clock = cluster::endpoint_time(in.clock_ms());
+    }
+    reply.finished_truncated = in.finished_truncated();
+    if (in.running() != nullptr) {
+        reply.running.reserve(in.running()->size());
+        for (const schema::RunningTask* row : *in.running()) {
+            reply.running.push_back({unpack_task(*row), row->run(),
+                                     text(row->checkpoint()), row->percent()});
+        }
+    }
+    if (in.finished() == nullptr) {
+        return out;
+    }
+    reply.finished.reserve(in.finished()->size());
+    for (const schema::FinishedTask* row : *in.finished()) {
+        if (row->outcome() >
+            static_cast<std::uint8_t>(cluster::task_outcome::gang_alone)) {
+            return std::nullopt;
+        }
+        reply.finished.push_back(
+            {row->sequence(), unpack_task(*row), row->run(),
+             static_cast<cluster::task_outcome>(row->outcome()),
+             text(row->checkpoint())});
+    }
+    return out;
+}
+
+std::optional<message> unpack(const schema::ReplyBatch& in) {
+    reply_batch out;
+    out.received = in.received();
+    if (in.replies() == nullptr) {
+        return out;
+    }
+    out.replies.reserve(in.replies()->size());
+    for (const schema::RelayedReply* row : *in.replies()) {
+        auto reply = unpack_reply(*row);
+        if (!reply) {
+            return std::nullopt;
+        }
+        out.replies.push_back(*std::move(reply));
+    }
+    return out;
+}
+
 std::optional<message> unpack(const schema::Envelope& in) {
     switch (in.content_type()) {
     case schema::Content_Heartbeat:
@@ -332,6 +543,10 @@
         }
         return out;
     }
+    case schema::Content_OrderBatch:
+        return unpack(*in.content_as_OrderBatch());
+    case schema::Content_ReplyBatch:
+        return unpack(*in.content_as_ReplyBatch());
     case schema::Content_NONE:
         return std::nullopt;
     }
--- a/tests/service/member_table_test.cpp
+++ b/tests/service/member_table_test.cpp
@@ -270,4 +270,30 @@
     BOOST_TEST(table.restarted_successor(now) == "a");
 }
 
+// Guards against orders that all go through one failure domain, or through VMs
+// of a version that doesn't pass them on.
+BOOST_AUTO_TEST_CASE(carriers_are_spread_over_the_failure_domains) {
+    auto put = [&](const std::string& vm, double cores,
+                   const std::string& domain, bool carries) {
+        table.put(vm, {vm + ":1", cores, domain, true, carries}, now);
+    };
+    put("self", many_cores, "a", true);
+    put("a-small", few_cores, "a", true);
+    put("a-large", many_cores, "a", true);
+    put("a-former-version", many_cores, "a", false);
+    put("b-1", few_cores, "b", true);
+    put("b-2", few_cores, "b", true);
+    table.put("b-unreachable", {"", many_cores, "b", true, true}, now);
+    auto names = [&](std::size_t count) {
+        std::string result;
+        for (const auto& each : table.carriers(count)) {
+            result += each.vm + " ";
+        }
+        return result;
+    };
+    BOOST_TEST(names(0) == "");
+    BOOST_TEST(names(2) == "a-large b-1 ");
+    BOOST_TEST(names(9) == "a-large b-1 a-small b-2 ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+namespace cluster = eelgrasslever::cluster;
 using namespace eelgrasslever::wire;
 
 namespace {
@@ -86,6 +87,88 @@
     BOOST_TEST(answered.age.count() == 420);
 }
 
+// An order that lost a field on its way would run the wrong task, or make an
+// endpoint forget an end that isn't stored.
+BOOST_AUTO_TEST_CASE(relayed_orders_keep_all_their_fields) {
+    order_batch batch;
+    batch.sequence = 3;
+    cluster::start_order start;
+    start.task = {"j1", 1, 2, 3};
+    start.run = 4;
+    start.payload = "p";
+    start.start_before = cluster::endpoint_time(1500);
+    start.checkpoint = "c";
+    start.ticket = "t";
+    cluster::renew_order renewal;
+    renewal.completions_recorded = 9;
+    renewal.lease_until = cluster::endpoint_time(0);
+    renewal.wait = std::chrono::milliseconds(1000);
+    batch.orders = {
+        {5, "e#1", "10.1.0.1:80", 77, start},
+        {6, "e#1", "10.1.0.1:80", 77, cluster::stop_order{{"j1", 1, 2, 3}, 4}},
+        {7, "e#1", "10.1.0.1:80", 77, renewal},
+        {8, "e#1", "10.1.0.1:80", 77, cluster::renew_order{}}};
+    auto received = std::get<order_batch>(round_trip(batch).content);
+    BOOST_TEST(received.sequence == 3u);
+    BOOST_REQUIRE(received.orders.size() == 4u);
+    for (std::size_t i = 0; i < 4; ++i) {
+        BOOST_TEST(received.orders[i].id == 5 + i);
+        BOOST_TEST(received.orders[i].endpoint == "e#1");
+        BOOST_TEST(received.orders[i].address == "10.1.0.1:80");
+        BOOST_TEST(received.orders[i].token == 77u);
+    }
+    auto started = std::get<cluster::start_order>(received.orders[0].order);
+    BOOST_TEST((started.task == start.task));
+    BOOST_TEST(started.run == 4);
+    BOOST_TEST(started.payload == "p");
+    BOOST_TEST(started.start_before.count() == 1500);
+    BOOST_TEST(started.checkpoint == "c");
+    BOOST_TEST(started.ticket == "t");
+    auto stopped = std::get<cluster::stop_order>(received.orders[1].order);
+    BOOST_TEST((stopped.task == start.task));
+    BOOST_TEST(stopped.run == 4);
+    auto renewed = std::get<cluster::renew_order>(received.orders[2].order);
+    BOOST_TEST(renewed.completions_recorded == 9u);
+    BOOST_TEST(renewed.lease_until.has_value());
+    BOOST_TEST(renewed.wait.count() == 1000);
+    auto read_only = std::get<cluster::renew_order>(received.orders[3].order);
+    BOOST_TEST(!read_only.lease_until.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(relayed_replies_keep_all_their_fields) {
+    reply_batch batch;
+    batch.received = 12;
+    cluster::renew_reply reply;
+    reply.status = cluster::order_status::other_incarnation;
+    reply.answered_by = "e#2";
+    reply.clock = cluster::endpoint_time(40);
+    reply.running = {{{"j1", 1, 2, 3}, 4, "c", 50}};
+    reply.finished = {
+        {6, {"j2", 0, 0, 1}, 2, cluster::task_outcome::gang_alone, "d"}};
+    reply.finished_truncated = true;
+    batch.replies = {{1, reply}, {2, {}}};
+    auto received = std::get<reply_batch>(round_trip(batch).content);
+    BOOST_TEST(received.received == 12u);
+    BOOST_REQUIRE(received.replies.size() == 2u);
+    const cluster::renew_reply& first = received.replies[0].reply;
+    BOOST_TEST((first.status == reply.status));
+    BOOST_TEST(first.answered_by == "e#2");
+    BOOST_TEST(first.clock->count() == 40);
+    BOOST_TEST((first.running.at(0).task == reply.running[0].task));
+    BOOST_TEST(first.running.at(0).run == 4);
+    BOOST_TEST(first.running.at(0).checkpoint == "c");
+    BOOST_TEST(first.running.at(0).percent == 50);
+    BOOST_TEST(first.finished.at(0).sequence == 6u);
+    BOOST_TEST((first.finished.at(0).task == reply.finished[0].task));
+    BOOST_TEST(
+        (first.finished.at(0).outcome == cluster::task_outcome::gang_alone));
+    BOOST_TEST(first.finished.at(0).checkpoint == "d");
+    BOOST_TEST(first.finished_truncated);
+    BOOST_TEST(!received.replies[1].reply.clock.has_value());
+    BOOST_TEST((received.replies[1].reply.status ==
+                cluster::order_status::unreachable));
+}
+
 BOOST_AUTO_TEST_CASE(an_oversize_frame_is_rejected_by_its_header) {
     frame_reader reader;
     const char header[] = {'\xff', '\xff', '\xff', '\x7f'};
