Store: an entry that can't be decoded doesn't hide the others of its reply

Here one row without a key, or with a field of another type, made a whole reply to a watch or a page unreadable, and the watcher asked for it again and again.

Cause: one exception for the reply.

--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -24,6 +24,8 @@
                                       {"value", "dg=="},
                                       {"revision", i}});
                 }
+                events.insert(events.end(), odd_events.begin(),
+                              odd_events.end());
                 json body{{"events", std::move(events)},
                           {"currentRev", event_count}};
                 http::response response;
@@ -51,6 +53,7 @@
     std::unique_ptr<http::server> server;
     platform::kv_store store{loop, address, metrics};
     int event_count{0};
+    json odd_events = json::array(); ///< after the others
 };
 
 } // namespace
@@ -76,4 +79,23 @@
     BOOST_TEST(reply.is_partial);
 }
 
+// Guards against a watcher that follows its keys no longer, as each reply has
+// an entry that it can't read.
+BOOST_AUTO_TEST_CASE(an_odd_entry_does_not_hide_the_others) {
+    event_count = 3;
+    odd_events = json::array({
+        {{"key", 7}, {"value", "dg=="}, {"revision", 4}},
+        {{"value", "dg=="}, {"revision", 4}},
+        {{"key", "p/odd"}, {"value", "dg=="}, {"revision", "many"}},
+        "text",
+        {{"key", "p/unreadable"}, {"value", json::array({1})}, {"revision", 4}},
+    });
+    coordination::watch_reply reply = watch();
+    BOOST_TEST((reply.status == coordination::status::ok));
+    BOOST_REQUIRE(reply.changes.size() == 4u);
+    BOOST_TEST(reply.changes[2].value == "v");
+    BOOST_TEST(reply.changes[3].key == "p/unreadable");
+    BOOST_TEST(reply.changes[3].value == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
