Members: an odd record doesn't end the VMs that read it

A member record with a field of another type ended each VM that watched the members: on_member_change read it outside of any handler (type_error.302, seen in the test registry/odd_entries_end_neither_a_vm_nor_its_watch on the code before). The record has an encoder and a decoder of its own now, which returns an error; such a member counts as missing.

--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -1,8 +1,8 @@
 // Membership, and the messages that VMs exchange.
 #include "eelgrasslever/service/cluster_service.hpp"
 
-#include "eelgrasslever/base/json.hpp"
 #include "eelgrasslever/observe/log.hpp"
+#include "eelgrasslever/service/member_record.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 
 #include <algorithm>
@@ -26,31 +26,21 @@
 } // namespace
 
 std::string cluster_service::member_record() const {
-    return nlohmann::json{{"peer", m_options.peer_address},
-                          {"cores", m_options.cores},
-                          {"fd", m_options.failure_domain},
-                          {"loaded", m_has_loaded_jobs},
-                          {"carries", true}}
-        .dump();
+    return encode({m_options.peer_address, m_options.cores,
+                   m_options.failure_domain, m_has_loaded_jobs, true});
 }
 
-// Whether a VM has loaded the jobs is missing from the records of earlier
-// versions. Those count as not loaded: to hand over to such a VM may leave
-// nobody to lead, and not to do so only keeps a smaller leader.
 void cluster_service::on_member_change(const coordination::key_value& change) {
     std::string vm =
         change.key.substr(std::string(cluster::keys::member).size());
     auto now = base::monotonic_now();
-    auto entry = change.deleted
-                     ? base::result<nlohmann::json>()
-                     : base::parse_object(change.value, "member.read", vm);
-    if (!change.deleted && entry) {
-        m_members.put(vm,
-                      {entry->value("peer", ""), entry->value("cores", 0.0),
-                       entry->value("fd", ""), entry->value("loaded", false),
-                       entry->value("carries", false)},
-                      now);
+    if (change.deleted) {
+        m_members.remove(vm, now);
+    } else if (auto entry = decode_member(change.value, vm)) {
+        m_members.put(vm, *std::move(entry), now);
     } else {
+        observe::log_error("entry_unreadable",
+                           {{"why", entry.error().message()}});
         m_members.remove(vm, now);
     }
     observe::log_event(change.deleted ? "member_left" : "member_seen",
--- a/tests/service/registry_test.cpp
+++ b/tests/service/registry_test.cpp
@@ -333,4 +333,55 @@
     BOOST_TEST((endpoint.ordered == std::set{later_life}));
 }
 
+// Guards against VMs that end, or follow the registry or the members no longer,
+// because another writer left an entry there that they can't use.
+BOOST_AUTO_TEST_CASE(odd_entries_end_neither_a_vm_nor_its_watch) {
+    constexpr std::size_t levels = 300'000;
+    const std::string deep =
+        std::string(levels, '[') + std::string(levels, ']');
+    auto entry = [](const std::string& address, const std::string& cpu,
+                    const std::string& labels) {
+        return R"({"service":"s","address":)" + address +
+               R"(,"zone":"z1","state":"ready","capacity":{"cpu":)" + cpu +
+               R"(},"labels":)" + labels + "}";
+    };
+    const std::string usable = R"("10.1.0.7:80")";
+    auto put_odd_entries = [&](const std::string& round) {
+        int number = 0;
+        for (const std::string& odd :
+             {deep, entry(usable, deep, "[]"), entry(usable, "1", deep),
+              entry(usable, "1e300", "[]"),
+              entry(usable, "99999999999999999999", "[]"),
+              entry(usable, "-5", "[]"),
+              entry(R"("10.1.0.7:70000")", "1", "[]"),
+              entry(R"("10.1.0.7:0")", "1", "[]"),
+              entry(R"("host.example:80")", "1", "[]"), entry("7", "1", "[]"),
+              std::string("\xff\xfe")}) {
+            put(platform::registry_prefix + ("odd-" + round) +
+                    std::to_string(number),
+                odd);
+            put(cluster::keys::member + ("odd-" + round) +
+                    std::to_string(number++),
+                odd);
+        }
+        put(platform::registry_prefix + endpoint_name + "#77",
+            entry(usable, "16000", "[]"));
+        put(cluster::keys::member + ("odd-" + round),
+            R"({"peer":5,"cores":"many","fd":[],"loaded":7})");
+        put(cluster::keys::member + ("odder-" + round),
+            R"({"peer":"10.1.0.7:70000","cores":1e300,"loaded":true})");
+    };
+    put_odd_entries("before");
+    begin(former_life);
+    endpoint.ordered.clear();
+    put_odd_entries("while-leading");
+    run(settle_time);
+    BOOST_TEST((endpoint.ordered == std::set{former_life}));
+    check_used(former_life, "b");
+    endpoint.begin_life(later_life);
+    show(later_life);
+    BOOST_TEST(run_until([&] { return starts_of("a") > 1; }));
+    check_used(later_life, "c");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
