Platform messages: reject values that are nested, out of range or not callable

Seen by other operators: processes end again and again, or stop following the list, after another writer left one odd entry among those of the workers.

- A value nested 500,000 levels deep ended the process: replies and arrays were copied, and a copy calls itself for each level (memory access violation).
Texts nested more than 64 levels are not decoded, and nothing is copied.
- 1e300, -1 or 2^64 - 1 as a capacity, a time or a count was taken as it came; a double that doesn't fit has another value on each kind of processor, and sums overflow.
Numbers are read with their range; amounts are at most 2^40.
- Port 70000, 0 or none, and names, were taken as addresses.
A leader would have called such an endpoint every 200 ms, and the HTTP library looks names up in a thread that it waits for.
An address is four numbers and a port from 1 on, by the one function that the peers' links use too (they took 70000 for 4464).
- A key such as "i-1#99999" passed for a later life of endpoint i-1 and would have ended its runs.

--- a/fuzz/platform_target.cpp
+++ b/fuzz/platform_target.cpp
@@ -3,6 +3,7 @@
 // records in its store.
 #include "targets.hpp"
 
+#include "eelgrasslever/service/member_record.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 #include "message_codec.hpp"
 #include "settings_file.hpp"
@@ -19,6 +20,7 @@
         (void)platform::decode_endpoint(entry);
         entry.key = "op/config";
         (void)platform::decode_configuration(entry);
+        (void)service::decode_member(input, "vm");
         (void)platform::decode_job(input, "00ff", {});
         (void)platform::decode_renew_reply(200, input, "i-1#5");
         (void)platform::decode_order_reply(409, input, "i-1#5");
@@ -36,6 +38,7 @@
          R"({"clockMs":4,"born":5,"running":[["a.0.1.17",2,"c0",41]],"ended":[[58,"a.0.1.9",1,"done",""]]})",
          R"({"good":[["i-1","t1"]],"validMs":3000})",
          "node=a\nzone=z\nip=10.1.0.1\nbounds.graceS=6\n",
+         R"({"peer":"10.1.0.1:7000","cores":0.5,"fd":"z","loaded":true})",
          R"({"state":1,"done":[[0,1,"101"]],"failures":{"0.1.2":[1]},"placements":[["0.1.1",4,"i-1"]]})"}};
 }
 
--- a/include/eelgrasslever/base/json.hpp
+++ b/include/eelgrasslever/base/json.hpp
@@ -4,13 +4,35 @@
 
 #include "eelgrasslever/base/error.hpp"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 
 namespace eelgrasslever::base {
 
-/// Parses @p text as a single JSON object.
+/// Deepest nesting that is parsed. Copies and comparisons of a value take stack
+/// for each level.
+inline constexpr int max_json_depth = 64;
+
+/// Largest amount that is read: sums of it over a fleet, and products with a
+/// number of tasks, stay within 63 bits.
+inline constexpr std::int64_t max_json_amount = std::int64_t{1} << 40;
+
+/// Reads a number whose fraction is dropped.
+/// @throws nlohmann::json::exception unless it is from @p least to @p most,
+/// which are exact as floating-point numbers.
+[[nodiscard]] std::int64_t to_whole(const nlohmann::json& in,
+                                    std::int64_t least, std::int64_t most);
+
+/// Reads field @p name of an object, or @p otherwise if it is missing.
+/// @throws nlohmann::json::exception as `to_whole`.
+[[nodiscard]] std::int64_t whole_field(const nlohmann::json& in,
+                                       const char* name, std::int64_t otherwise,
+                                       std::int64_t least = 0,
+                                       std::int64_t most = max_json_amount);
+
+/// Parses @p text as a single JSON object, nested `max_json_depth` at most.
 /// @param step operation name for the error.
 /// @param peer source of the text, for the error.
 /// @return the object, or `invalid_argument`.
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -1,8 +1,8 @@
 #include "eelgrasslever/daemon/peer_links.hpp"
 
+#include "eelgrasslever/base/address.hpp"
 #include "eelgrasslever/observe/log.hpp"
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -25,18 +25,6 @@
 constexpr int listen_backlog = 128;
 constexpr const char* link_activity = "peer_links";
 
-bool parse_address(const std::string& address, sockaddr_in& out) {
-    auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    out.sin_family = AF_INET;
-    out.sin_port = htons(
-        static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
-    return inet_pton(AF_INET, address.substr(0, colon).c_str(),
-                     &out.sin_addr) == 1;
-}
-
 int open_socket() {
     int descriptor =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -84,15 +72,15 @@
 
   private:
     void connect_now() {
-        sockaddr_in peer_address{};
-        if (!parse_address(m_address, peer_address)) {
+        auto peer_address = base::parse_address(m_address);
+        if (!peer_address || !base::is_callable(*peer_address)) {
             m_queue.clear();
             return;
         }
         m_descriptor = open_socket();
         int connected =
-            connect(m_descriptor, reinterpret_cast<sockaddr*>(&peer_address),
-                    sizeof peer_address);
+            connect(m_descriptor, reinterpret_cast<sockaddr*>(&*peer_address),
+                    sizeof *peer_address);
         if (connected != 0 && errno != EINPROGRESS) {
             close_connection();
             return;
@@ -252,11 +240,11 @@
 peer_links::listen(kernel::loop& event_loop, const std::string& address,
                    kernel::mailbox<scheduler_message>& scheduler) {
     std::unique_ptr<peer_links> self(new peer_links(event_loop, scheduler));
-    sockaddr_in bind_address{};
+    auto bind_address = base::parse_address(address);
     auto failed = [&](const std::string& reason) {
         return base::fail(base::error_code::io, "peer.listen", address, reason);
     };
-    if (!parse_address(address, bind_address)) {
+    if (!bind_address) {
         return failed("not a valid IPv4 address and port; expected IP:port");
     }
     self->m_listener = open_socket();
@@ -264,8 +252,8 @@
     setsockopt(self->m_listener, SOL_SOCKET, SO_REUSEADDR, &enabled,
                sizeof enabled);
     bool bound =
-        bind(self->m_listener, reinterpret_cast<sockaddr*>(&bind_address),
-             sizeof bind_address) == 0;
+        bind(self->m_listener, reinterpret_cast<sockaddr*>(&*bind_address),
+             sizeof *bind_address) == 0;
     if (!bound || ::listen(self->m_listener, listen_backlog) != 0) {
         return failed(std::strerror(errno));
     }
--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -73,6 +73,133 @@
     }
 }
 
+// Guards against an entry of another writer that ends the process, blocks it in
+// a look-up of a name, or counts as room that isn't there.
+BOOST_AUTO_TEST_CASE(registry_entry_with_an_impossible_value_is_rejected) {
+    auto decodes = [](const std::string& from, const std::string& to) {
+        return platform::decode_endpoint(
+                   make_entry("servers/i-1",
+                              replace_in(valid_endpoint, from, to)))
+            .has_value();
+    };
+    for (const char* amount :
+         {"1e300", "-1e300", "18446744073709551615", "9223372036854775807",
+          "-1", "1e18", "null", "true", "[16000]"}) {
+        BOOST_TEST(!decodes("16000", amount), "cpu " << amount);
+        BOOST_TEST(!decodes("32768", amount), "memory " << amount);
+    }
+    BOOST_TEST(decodes("16000", "16000.0"));
+    for (const char* address :
+         {"10.1.0.9:70000", "10.1.0.9:0", "10.1.0.9:-1",
+          "10.1.0.9:", "10.1.0.9", ":80", "", "host.example:80",
+          "10.1.0.9:80/x", "10.1.0.9:8 0", "10.1.0.256:80",
+          "10.1.0.9:99999999999999999999", "0.0.0.0:80", "10.1.0.9:080 "}) {
+        BOOST_TEST(!decodes("10.1.0.9:80", address), "address " << address);
+    }
+    BOOST_TEST(decodes("10.1.0.9:80", "10.1.0.9:65535"));
+}
+
+// Guards against an entry whose key makes it pass for a later life of another
+// endpoint, which would end that one's runs.
+BOOST_AUTO_TEST_CASE(registry_entry_named_like_a_life_is_rejected) {
+    BOOST_TEST(!platform::decode_endpoint(
+        make_entry("servers/i-1#99999", valid_endpoint)));
+}
+
+std::string nest(std::size_t levels) {
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+// The text of a value is at most a megabyte. A function that calls itself for
+// each level of such a value runs out of stack.
+BOOST_AUTO_TEST_CASE(deeply_nested_values_are_rejected) {
+    constexpr std::size_t levels = 500'000;
+    const std::string deep = nest(levels);
+    for (const char* field : {"\"s1\"", "\"10.1.0.9:80\"", "\"ready\"", "16000",
+                              "\"r1-3\"", "\"v1\"", "4}"}) {
+        std::string end = field[0] == '4' ? "}" : "";
+        auto listing = platform::decode_endpoint(make_entry(
+            "servers/i-1", replace_in(valid_endpoint, field, deep + end)));
+        BOOST_TEST(!listing.has_value(), "in place of " << field);
+    }
+    BOOST_TEST(!platform::decode_endpoint(make_entry("servers/i-1", deep)));
+    BOOST_TEST(!platform::decode_configuration(
+        make_entry("op/config", R"({"version":7,"routes":)" + deep + "}")));
+    BOOST_TEST(!platform::decode_configuration(make_entry(
+        "op/config", R"({"version":7,"routes":[],"limits":)" + deep + "}")));
+    BOOST_TEST(!platform::decode_job(R"({"steps":)" + deep + "}", "00ff",
+                                     make_queue()));
+    BOOST_TEST(
+        !platform::decode_job(R"({"steps":[{"count":1,"after":)" + deep + "}]}",
+                              "00ff", make_queue()));
+    for (const char* name : {"running", "ended", "other"}) {
+        auto reply = platform::decode_renew_reply(
+            200, R"({"clockMs":1,")" + std::string(name) + "\":" + deep + "}",
+            "i-1");
+        BOOST_TEST((reply.status == order_status::unreachable), name);
+    }
+    auto order =
+        platform::decode_order_reply(409, R"({"reason":)" + deep + "}", "i-1");
+    BOOST_TEST((order.status == order_status::unreachable));
+    auto advice =
+        platform::decode_advice_reply(200, R"({"good":)" + deep + "}", {"i-1"});
+    BOOST_TEST(!advice.answered);
+}
+
+// A number out of the range of its type would have another value on each kind
+// of processor.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_rejected) {
+    for (const char* number : {"1e300", "-1e300", "18446744073709551615"}) {
+        std::string text(number);
+        BOOST_TEST(!platform::decode_job(
+            R"({"steps":[{"count":)" + text + "}]}", "00ff", make_queue()));
+        for (const char* field : {"cpu", "memMb", "gpu", "estimateMs"}) {
+            BOOST_TEST(!platform::decode_job(R"({"steps":[{"count":1,")" +
+                                                 std::string(field) +
+                                                 "\":" + text + "}]}",
+                                             "00ff", make_queue()),
+                       field << " " << text);
+        }
+        for (const char* field : {"repeatCount", "intervalMs", "startAtMs"}) {
+            BOOST_TEST(!platform::decode_job(R"({"steps":[{"count":1}],")" +
+                                                 std::string(field) +
+                                                 "\":" + text + "}",
+                                             "00ff", make_queue()),
+                       field << " " << text);
+        }
+        for (const char* field :
+             {"priority", "attempts", "stretch", "targetLatencyMs"}) {
+            auto table = platform::decode_configuration(make_entry(
+                "op/config",
+                R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+                    "service":"s",")" +
+                    std::string(field) + "\":" + text + "}]}"));
+            BOOST_TEST(!table.has_value(), field << " " << text);
+        }
+        for (const char* field : {"decisionMs", "periodMs", "validMs"}) {
+            auto table = platform::decode_configuration(make_entry(
+                "op/config",
+                R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+                    "service":"s","advice":{")" +
+                    std::string(field) + "\":" + text + "}}]}"));
+            BOOST_TEST(!table.has_value(), field << " " << text);
+        }
+        auto reply = platform::decode_renew_reply(
+            200, R"({"clockMs":)" + text + "}", "i-1");
+        BOOST_TEST((reply.status == order_status::unreachable), text);
+        reply = platform::decode_renew_reply(
+            200,
+            R"({"clockMs":1,"running":[["a.0.1.17",)" + text + R"(,"c0",41]]})",
+            "i-1");
+        BOOST_TEST((reply.status == order_status::unreachable), text);
+        reply = platform::decode_renew_reply(
+            200,
+            R"({"clockMs":1,"running":[["a.0.1.17",1,"c0",)" + text + "]]}",
+            "i-1");
+        BOOST_TEST((reply.status == order_status::unreachable), text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodes_a_configuration) {
     auto table = platform::decode_configuration(
         make_entry("op/config",
