Jobs: a stored job with an impossible amount is not decoded

By reading: the amounts of a stored job were taken as they came, so a count of 10^9 tasks would have taken the leader's memory. They are read with their range now, as those of a submitted job; the record is logged as unreadable.

--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -54,12 +54,13 @@
 
 step decode_step(const json& in) {
     step out;
-    out.count = in.value("count", out.count);
-    out.need.cpu_milli = in.value("cpu", std::int64_t{0});
-    out.need.memory_mb = in.value("memory", std::int64_t{0});
-    out.need.accelerators = in.value("accelerators", std::int64_t{0});
+    out.count = static_cast<int>(
+        base::whole_field(in, "count", out.count, 0, max_tasks_per_step));
+    out.need.cpu_milli = base::whole_field(in, "cpu", 0);
+    out.need.memory_mb = base::whole_field(in, "memory", 0);
+    out.need.accelerators = base::whole_field(in, "accelerators", 0);
     out.estimated_duration =
-        base::milliseconds(in.value("estimate", std::int64_t{0}));
+        base::milliseconds(base::whole_field(in, "estimate", 0));
     out.predecessors = in.value("after", out.predecessors);
     out.checkpointing = in.value("checkpointing", false);
     out.gang = in.value("gang", false);
--- a/tests/workload/workload_test.cpp
+++ b/tests/workload/workload_test.cpp
@@ -147,4 +147,24 @@
     BOOST_TEST(workload::latency_objective(value, chains).count() == 3940);
 }
 
+// Guards against a leader that runs out of memory on the tasks of an odd
+// record.
+BOOST_AUTO_TEST_CASE(stored_job_with_an_impossible_amount_is_rejected) {
+    auto decodes = [](const std::string& step) {
+        return workload::decode_job(
+                   R"({"queue":{"name":"q","service":"s"},"steps":[{)" + step +
+                       "}]}",
+                   "00ff")
+            .has_value();
+    };
+    BOOST_TEST(decodes(R"("count":4,"cpu":500)"));
+    for (const char* amount : {"1000000000", "-1", "1e300"}) {
+        BOOST_TEST(!decodes(R"("count":)" + std::string(amount)), amount);
+    }
+    for (const char* amount : {"1e300", "-1", "18446744073709551615"}) {
+        BOOST_TEST(!decodes(R"("cpu":)" + std::string(amount)), amount);
+        BOOST_TEST(!decodes(R"("estimate":)" + std::string(amount)), amount);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
