Log: a callback that reads the usage isn't listed by a mangled type

leader_work named the maintenance timer by its mangled type, since a kind of work was marked as a callback only after it had ended, and largest_callback printed a signature of 300 characters. The test fails without the change.

--- a/src/kernel/loop.cpp
+++ b/src/kernel/loop.cpp
@@ -96,8 +96,9 @@
     }
 
     void on_callback(const char* type, microseconds duration) {
-        turn.callbacks++;
+        count_piece(type, duration);
         usage[type].is_callback = true;
+        turn.callbacks++;
         if (duration >= turn.longest) {
             turn.longest = duration;
             turn.longest_callback = type;
@@ -130,12 +131,14 @@
                   Arguments... arguments) {
     const char* type = callback.target_type().name();
     auto started_at = steady_clock::now();
-    {
-        activity measured(*this, type);
-        callback(arguments...);
-    }
-    m_turns->on_callback(
-        type, duration_cast<microseconds>(steady_clock::now() - started_at));
+    const char* enclosing = m_turns->switch_to(type, started_at);
+    // Known before the callback runs, which may take the usage.
+    m_turns->usage[type].is_callback = true;
+    callback(arguments...);
+    auto ended_at = steady_clock::now();
+    m_turns->switch_to(enclosing, ended_at);
+    m_turns->on_callback(type,
+                         duration_cast<microseconds>(ended_at - started_at));
 }
 
 struct loop::deferred_queue {
--- a/tests/kernel/loop_test.cpp
+++ b/tests/kernel/loop_test.cpp
@@ -152,3 +152,24 @@
         BOOST_TEST((row.total < milliseconds(4)));
     }
 }
+
+// Guards: the log names the kind of work that reads the usage by a mangled
+// type.
+BOOST_AUTO_TEST_CASE(a_callback_that_takes_the_usage_is_listed_as_one) {
+    kernel::loop event_loop;
+    std::vector<kernel::activity_usage> usage;
+    auto callback = [&] {
+        std::this_thread::sleep_for(milliseconds(2));
+        usage = event_loop.take_usage();
+        event_loop.stop();
+    };
+    kernel::timer timer(event_loop, callback);
+    timer.start_once(milliseconds(1));
+    event_loop.run();
+    auto row = std::find_if(usage.begin(), usage.end(), [&](const auto& each) {
+        return each.name == typeid(callback).name();
+    });
+    BOOST_REQUIRE((row != usage.end()));
+    BOOST_TEST(row->is_callback);
+    BOOST_TEST((row->total >= milliseconds(2)));
+}
