Beside free room, a gang asks about no more endpoints than it needs

Cause: a first call named 90 to 100 endpoints whatever the width, since in a busy fleet a gang needs a choice among which to gather room. Beside free room it needs none; the call takes three to five times as long as necessary, others wait for the channel, and a call that is lost costs as much again.

Change: while under 0.6 of the fleet is in use, a call names as many endpoints as are expected to hold the gang twice.

--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -18,6 +18,7 @@
 /// available resources change until the reply arrives. Single tasks need a
 /// larger factor, as they are placed on endpoints that are nearly full.
 constexpr double gang_surplus = 1.5;
+constexpr double spare_gang_surplus = 2.0;
 constexpr double task_surplus = 2.0;
 /// Capacity, relative to its need, of the endpoints among which a gang gathers
 /// room. The more there are, the sooner enough of their tasks end.
@@ -140,12 +141,16 @@
     if (options.empty() || (!spec.gang && options.front().fits == 0)) {
         return {};
     }
-    double wanted = static_cast<double>(missing) *
-                    (spec.gang ? gang_surplus : task_surplus);
+    // With room to spare, a gang needs no choice, and short calls leave the
+    // channels to others.
+    bool spare = has_spare_room();
+    double wanted = static_cast<double>(missing) * (!spec.gang ? task_surplus
+                                                    : spare ? spare_gang_surplus
+                                                            : gang_surplus);
     double wanted_idle = static_cast<double>(missing) * gang_choice;
     std::size_t min_candidates =
         rank.priority == 0 ? 0
-        : spec.gang        ? max_advice_candidates
+        : spec.gang        ? (spare ? 0 : max_advice_candidates)
                     : affordable_candidates(*job.execution->job().queue.advice);
     double expected = 0.0;
     double expected_idle = 0.0;
