A waiting gang starts in the pass in which its room is free

Cause: left a gang alone for 50 ms, also if it could start.

Change: each pass looks whether a gang with tickets fits, as before; only the working out of room that it can't use yet is left for 50 ms.

--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -602,10 +602,6 @@
             checkpoint = task.checkpoint;
         }
     }
-    if (keeps_gathering(step, now)) {
-        reserve_room(step.room, now);
-        return placement_outcome::waiting;
-    }
     auto candidates =
         find_candidates(job, rank, step, now, candidate_filter::with_ticket);
     std::set<int> suspects;
@@ -632,6 +628,10 @@
     if (chosen.empty()) {
         chosen = assign_gang(spec.need, unfinished, candidates, spec.same_rack);
     }
+    if (chosen.empty() && keeps_gathering(step, now)) {
+        reserve_room(step.room, now);
+        return placement_outcome::waiting;
+    }
     if (chosen.empty()) {
         return gather_room(job, rank, step, unfinished, now);
     }
