Orders: batches of a later term are newer than those of an earlier one

Found by reading the diff: a carrier keeps the highest sequence that it has received from a VM. Sequences begin with the term in their upper half, as ids do. The test fails without the change (the leader calls itself).

The type of a carrier moves to the member table, which selects them.

--- a/include/eelgrasslever/service/member_table.hpp
+++ b/include/eelgrasslever/service/member_table.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "eelgrasslever/base/time.hpp"
-#include "eelgrasslever/service/order_relay.hpp"
 
 #include <map>
 #include <optional>
@@ -24,6 +23,13 @@
     bool carries_orders{false};
 };
 
+/// A VM that passes the leader's orders on to endpoints.
+struct carrier {
+    std::string vm;
+    std::string peer_address; ///< "IP:port"
+    std::string failure_domain;
+};
+
 /// Tracks the VMs of the cluster and compares their processor shares. The VM
 /// with the most cores is the preferred leader.
 class member_table {
--- a/include/eelgrasslever/service/order_relay.hpp
+++ b/include/eelgrasslever/service/order_relay.hpp
@@ -6,6 +6,7 @@
 #include "eelgrasslever/kernel/loop.hpp"
 #include "eelgrasslever/observe/metrics.hpp"
 #include "eelgrasslever/service/gateways.hpp"
+#include "eelgrasslever/service/member_table.hpp"
 #include "eelgrasslever/wire/message.hpp"
 
 #include <functional>
@@ -16,14 +17,6 @@
 
 namespace eelgrasslever::service {
 
-/// A VM that passes orders on.
-struct carrier {
-    std::string vm;
-    std::string peer_address; ///< "IP:port"
-    std::string failure_domain;
-    bool operator==(const carrier&) const = default;
-};
-
 /// The leader's side. Each endpoint has one carrier at a time, of its own
 /// failure domain if there is one. What a carrier owes a reply to when it falls
 /// silent, leaves or says that it didn't send is sent by this VM itself: the
@@ -93,7 +86,9 @@
     };
     struct carrier_state {
         carrier vm;
-        std::uint64_t sequence{0}; ///< of the last batch
+        /// Of the last batch. It begins anew with each term, above those of
+        /// earlier terms, which the carrier may still know.
+        std::uint64_t sequence{0};
         std::uint64_t received{0}; ///< acknowledged by the carrier
         /// When the oldest batch was sent that is not acknowledged.
         base::instant unacknowledged_since{};
--- a/src/service/order_relay.cpp
+++ b/src/service/order_relay.cpp
@@ -13,6 +13,8 @@
 
 constexpr const char* relay_activity = "order_relay";
 constexpr base::milliseconds check_period{100};
+/// Ids and sequences have the term in their upper half.
+constexpr int term_shift = 32;
 
 /// @return a weight by which one carrier is selected for an endpoint, so that
 /// few endpoints change their carrier when one comes or goes.
@@ -59,7 +61,12 @@
     std::vector<std::string> addresses;
     for (carrier& each : carriers) {
         addresses.push_back(each.peer_address);
-        m_known[each.peer_address].vm = std::move(each);
+        auto [known, is_new] = m_known.try_emplace(each.peer_address);
+        if (is_new) {
+            known->second.sequence = m_term << term_shift;
+            known->second.received = known->second.sequence;
+        }
+        known->second.vm = std::move(each);
     }
     std::sort(addresses.begin(), addresses.end());
     if (addresses == m_carriers) {
@@ -156,7 +163,7 @@
     kernel::activity measured(m_owner, relay_activity);
     // The term in the upper half tells replies to an earlier leadership apart,
     // also to that of an earlier process at the same address.
-    content.id = (m_term << 32) | ++m_last_id;
+    content.id = (m_term << term_shift) | ++m_last_id;
     pending_order& pending = m_pending[content.id];
     pending.content = content;
     pending.peer_address = through.vm.peer_address;
--- a/tests/service/order_relay_test.cpp
+++ b/tests/service/order_relay_test.cpp
@@ -371,6 +371,27 @@
     BOOST_TEST(replies.size() == 1u);
 }
 
+// A carrier remembers the batches of a VM that has led before. If the next ones
+// seemed older, they would never count as acknowledged.
+BOOST_AUTO_TEST_CASE(a_vm_that_leads_again_keeps_its_carriers) {
+    test_carrier& vm = add_carrier();
+    for (int i = 0; i < 10; ++i) {
+        start(make_endpoint(1));
+        run(milliseconds(10));
+    }
+    relay.begin_term(term + 1);
+    relay.set_carriers(listed);
+    replies.clear();
+    vm.endpoints.replies = false;
+    renew(make_endpoint(1), milliseconds(2000));
+    run(order_relay::max_silence + milliseconds(400));
+    BOOST_TEST(direct.calls() == 0u);
+    vm.endpoints.replies = true;
+    start(make_endpoint(2));
+    run(milliseconds(30));
+    BOOST_TEST(replies.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_have_a_carrier_of_their_own_failure_domain) {
     test_carrier& near = add_carrier("near");
     test_carrier& far = add_carrier("far");
