--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -1,7 +1,9 @@
 #include "eelgrasslever/wire/codec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <random>
+#include <tuple>
 
 namespace cluster = eelgrasslever::cluster;
 using namespace eelgrasslever::wire;
@@ -24,6 +26,48 @@
     return *decoded;
 }
 
+auto fields_of(const cluster::start_order& in) {
+    return std::tuple(in.task, in.run, in.payload, in.start_before,
+                      in.checkpoint, in.ticket);
+}
+
+auto fields_of(const cluster::stop_order& in) {
+    return std::tuple(in.task, in.run);
+}
+
+auto fields_of(const cluster::renew_order& in) {
+    return std::tuple(in.completions_recorded, in.lease_until, in.wait);
+}
+
+/// @return all fields of an order; those of the other kinds are empty.
+auto fields_of(const relayed_order& in) {
+    auto of_kind = [&]<typename Order>(const Order* order) {
+        return order == nullptr ? std::nullopt
+                                : std::optional(fields_of(*order));
+    };
+    return std::tuple(in.id, in.endpoint, in.address, in.token,
+                      of_kind(std::get_if<cluster::start_order>(&in.order)),
+                      of_kind(std::get_if<cluster::stop_order>(&in.order)),
+                      of_kind(std::get_if<cluster::renew_order>(&in.order)));
+}
+
+auto fields_of(const relayed_reply& in) {
+    std::vector<std::tuple<cluster::task_key, int, std::string, int>> running;
+    for (const auto& row : in.reply.running) {
+        running.emplace_back(row.task, row.run, row.checkpoint, row.percent);
+    }
+    std::vector<std::tuple<std::uint64_t, cluster::task_key, int,
+                           cluster::task_outcome, std::string>>
+        finished;
+    for (const auto& row : in.reply.finished) {
+        finished.emplace_back(row.sequence, row.task, row.run, row.outcome,
+                              row.checkpoint);
+    }
+    return std::tuple(in.id, in.reply.status, in.reply.answered_by,
+                      in.reply.clock, running, finished,
+                      in.reply.finished_truncated);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(encoded_messages_decode_to_the_same_fields) {
@@ -110,29 +154,11 @@
         {8, "e#1", "10.1.0.1:80", 77, cluster::renew_order{}}};
     auto received = std::get<order_batch>(round_trip(batch).content);
     BOOST_TEST(received.sequence == 3u);
-    BOOST_REQUIRE(received.orders.size() == 4u);
-    for (std::size_t i = 0; i < 4; ++i) {
-        BOOST_TEST(received.orders[i].id == 5 + i);
-        BOOST_TEST(received.orders[i].endpoint == "e#1");
-        BOOST_TEST(received.orders[i].address == "10.1.0.1:80");
-        BOOST_TEST(received.orders[i].token == 77u);
+    BOOST_REQUIRE(received.orders.size() == batch.orders.size());
+    for (std::size_t i = 0; i < batch.orders.size(); ++i) {
+        BOOST_TEST(
+            (fields_of(received.orders[i]) == fields_of(batch.orders[i])));
     }
-    auto started = std::get<cluster::start_order>(received.orders[0].order);
-    BOOST_TEST((started.task == start.task));
-    BOOST_TEST(started.run == 4);
-    BOOST_TEST(started.payload == "p");
-    BOOST_TEST(started.start_before.count() == 1500);
-    BOOST_TEST(started.checkpoint == "c");
-    BOOST_TEST(started.ticket == "t");
-    auto stopped = std::get<cluster::stop_order>(received.orders[1].order);
-    BOOST_TEST((stopped.task == start.task));
-    BOOST_TEST(stopped.run == 4);
-    auto renewed = std::get<cluster::renew_order>(received.orders[2].order);
-    BOOST_TEST(renewed.completions_recorded == 9u);
-    BOOST_TEST(renewed.lease_until.has_value());
-    BOOST_TEST(renewed.wait.count() == 1000);
-    auto read_only = std::get<cluster::renew_order>(received.orders[3].order);
-    BOOST_TEST(!read_only.lease_until.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(relayed_replies_keep_all_their_fields) {
@@ -149,24 +175,11 @@
     batch.replies = {{1, reply}, {2, {}}};
     auto received = std::get<reply_batch>(round_trip(batch).content);
     BOOST_TEST(received.received == 12u);
-    BOOST_REQUIRE(received.replies.size() == 2u);
-    const cluster::renew_reply& first = received.replies[0].reply;
-    BOOST_TEST((first.status == reply.status));
-    BOOST_TEST(first.answered_by == "e#2");
-    BOOST_TEST(first.clock->count() == 40);
-    BOOST_TEST((first.running.at(0).task == reply.running[0].task));
-    BOOST_TEST(first.running.at(0).run == 4);
-    BOOST_TEST(first.running.at(0).checkpoint == "c");
-    BOOST_TEST(first.running.at(0).percent == 50);
-    BOOST_TEST(first.finished.at(0).sequence == 6u);
-    BOOST_TEST((first.finished.at(0).task == reply.finished[0].task));
-    BOOST_TEST(
-        (first.finished.at(0).outcome == cluster::task_outcome::gang_alone));
-    BOOST_TEST(first.finished.at(0).checkpoint == "d");
-    BOOST_TEST(first.finished_truncated);
-    BOOST_TEST(!received.replies[1].reply.clock.has_value());
-    BOOST_TEST((received.replies[1].reply.status ==
-                cluster::order_status::unreachable));
+    BOOST_REQUIRE(received.replies.size() == batch.replies.size());
+    for (std::size_t i = 0; i < batch.replies.size(); ++i) {
+        BOOST_TEST(
+            (fields_of(received.replies[i]) == fields_of(batch.replies[i])));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(an_oversize_frame_is_rejected_by_its_header) {
