Orders: an acknowledgement of ends is not repeated

When a carrier falls silent, the leader sent its renewals again as they were, also those that acknowledge ends. If the endpoint had restarted meanwhile, its next life would have forgotten ends of its own that nobody had read, so that a task runs twice. The scheduler avoids that for its own renewals (ends are acknowledged once, and only after an answer).

Change: such a renewal counts as unanswered; the scheduler then asks the endpoint without an acknowledgement first. Renewals that acknowledge nothing are repeated as before.

--- a/src/service/order_relay.cpp
+++ b/src/service/order_relay.cpp
@@ -319,8 +319,15 @@
     }
     m_metrics.add("orders_taken_back", static_cast<double>(orders.size()));
     for (pending_order& order : orders) {
-        bool is_renewal =
-            std::holds_alternative<cluster::renew_order>(order.content.order);
+        const auto* renewal =
+            std::get_if<cluster::renew_order>(&order.content.order);
+        bool is_renewal = renewal != nullptr;
+        // A next life of the endpoint would forget ends of its own.
+        if (may_be_repeated && is_renewal &&
+            renewal->completions_recorded > 0) {
+            order.done({});
+            continue;
+        }
         send_to_endpoint(
             m_direct, order.content,
             [is_uncertain = may_be_repeated && !is_renewal,
