--- a/review/stand_ins/worker.cpp
+++ b/review/stand_ins/worker.cpp
@@ -27,6 +27,11 @@
     m_starts[number].how = how;
 }
 
+void run_log::note(std::size_t number) {
+    std::lock_guard lock(m_mutex);
+    m_starts[number].is_noted = true;
+}
+
 std::vector<task_start> run_log::all() {
     std::lock_guard lock(m_mutex);
     return m_starts;
@@ -80,6 +85,7 @@
         m_deadline = 0;
         m_last_end = 0;
         m_ended.clear();
+        m_unnoted.clear();
         m_highest_ended.clear();
     }
     m_server->open();
@@ -172,6 +178,7 @@
     m_highest_ended[task] = std::max(m_highest_ended[task], run.run);
     m_ended.push_back({++m_last_end, task, run.run, how, ""});
     m_log.end(run.log_number, how);
+    m_unnoted[m_last_end] = run.log_number;
     m_record.write("worker " + m_id + ": run " + std::to_string(run.run) +
                    " of " + task + " has ended: " + how);
     m_changed.notify_all();
@@ -277,6 +284,11 @@
     std::erase_if(m_ended, [&](const json& row) {
         return row.at(0).get<std::uint64_t>() <= seen;
     });
+    auto last_noted = m_unnoted.upper_bound(seen);
+    for (auto row = m_unnoted.begin(); row != last_noted; ++row) {
+        m_log.note(row->second);
+    }
+    m_unnoted.erase(m_unnoted.begin(), last_noted);
     int life = m_life;
     auto until = steady::now() + milliseconds(order.value("waitMs", 0));
     while (m_ended.empty() && m_life == life && m_is_up && !m_stopping &&
--- a/review/stand_ins/worker.hpp
+++ b/review/stand_ins/worker.hpp
@@ -22,7 +22,8 @@
     std::string worker; ///< its id
     std::chrono::steady_clock::time_point started_at{};
     std::optional<std::chrono::steady_clock::time_point> ended_at;
-    std::string how; ///< as listed by the worker; "lost" in a crash
+    std::string how;      ///< as listed by the worker; "lost" in a crash
+    bool is_noted{false}; ///< `seenUpto` has reached the end
 };
 
 /// Starts of all workers, in order.
@@ -30,6 +31,7 @@
   public:
     std::size_t add(task_start start);
     void end(std::size_t number, const std::string& how);
+    void note(std::size_t number);
     [[nodiscard]] std::vector<task_start> all();
 
   private:
@@ -109,6 +111,7 @@
     std::map<std::string, active_run> m_running;
     std::map<std::string, int> m_highest_ended;
     std::vector<nlohmann::json> m_ended;
+    std::map<std::uint64_t, std::size_t> m_unnoted; ///< log numbers of ends
     std::vector<std::pair<std::chrono::steady_clock::time_point, std::string>>
         m_lost_entries;
     std::thread m_ticker;
