--- a/review/stand_ins/cell.cpp
+++ b/review/stand_ins/cell.cpp
@@ -20,7 +20,7 @@
 constexpr const char* program = "target/eelgrasslever-platformd";
 constexpr const char* host = "queue.example";
 constexpr const char* prefix = "/queue/";
-constexpr const char* service = "passdesk";
+constexpr const char* service = "patronaje";
 constexpr milliseconds startup_limit{15'000};
 constexpr milliseconds poll_period{100};
 constexpr int first_port = 7700;
@@ -92,7 +92,7 @@
     options.ip =
         m_network + std::to_string(100 + static_cast<int>(m_workers.size()));
     options.service = service;
-    options.zone = "galata";
+    options.zone = "heredia";
     options.labels = {kind, rack};
     m_workers.push_back(
         std::make_unique<worker>(name, options, m_store, m_runs, m_record));
@@ -118,8 +118,10 @@
     };
     out << "node=" << node.name << "\nrole=entry\nmachineClass=front\n"
         << "serves=front\nip=" << node.ip << "\nzone=" << node.zone
-        << "\nregion=istanbul\nzones.sultanahmet=istanbul\n"
-        << "zones.galata=istanbul\nzones.kadikoy=istanbul\n"
+        << "\nregion=valle-central\nzones.escazu=valle-central\n"
+        << "zones.heredia=valle-central\n"
+        << "zones.cartago=valle-central\n"
+        << "zones.alajuela=valle-central\n"
         << "listen.front=" << node.front()
         << "\nlisten.readiness=" << node.readiness()
         << "\nportRange=" << port(10) << "," << port(25)
@@ -133,8 +135,8 @@
         << "faultTolerance.zones=1\nfaultTolerance.regions=0\n"
         << "bounds.contactMs=3000\nbounds.ackMs=4000\nbounds.drainMs=2000\n"
         << "bounds.graceS=6\nbounds.configApplyMs=2000\n"
-        << "bounds.recoveryS=12\nbounds.maxHoldMs=6000\n"
-        << "bounds.stopTimeoutMs=900\nbounds.gangTimeoutMs=3000\n"
+        << "bounds.recoveryS=12\nbounds.maxHoldMs=10000\n"
+        << "bounds.stopTimeoutMs=200\nbounds.gangTimeoutMs=3000\n"
         << "bounds.cancel_ms=3000\nbounds.visible_ms=3000\n"
         << "bounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\n"
         << "bounds.fencing=false\nbounds.leaseMs=3000\norders=rpc\n"
--- a/review/stand_ins/worker.cpp
+++ b/review/stand_ins/worker.cpp
@@ -75,6 +75,11 @@
     return m_running.contains(task);
 }
 
+std::size_t worker::running_count() {
+    std::lock_guard lock(m_mutex);
+    return m_running.size();
+}
+
 void worker::restart() {
     {
         std::lock_guard lock(m_mutex);
@@ -120,6 +125,14 @@
     m_record.write("worker " + m_id + " reports that it drains");
 }
 
+void worker::leave() {
+    crash();
+    std::lock_guard lock(m_mutex);
+    m_registry.remove(m_lost_entries.back().second);
+    m_lost_entries.pop_back();
+    m_record.write("worker " + m_id + " has left");
+}
+
 void worker::register_entry() {
     json entry{
         {"service", m_options.service},
--- a/review/stand_ins/worker.hpp
+++ b/review/stand_ins/worker.hpp
@@ -44,10 +44,10 @@
     std::string service;
     std::string zone;
     std::vector<std::string> labels; ///< kind, rack
-    std::int64_t cpu{16000};
-    std::int64_t memory_mb{65536};
+    std::int64_t cpu{64000};
+    std::int64_t memory_mb{262144};
     milliseconds heartbeat{1500};
-    milliseconds max_hold{6000};
+    milliseconds max_hold{10000};
 };
 
 /// One machine with a worker; a crash ends the worker, and a restart begins
@@ -66,8 +66,11 @@
     void restart();
     /// Reports that it drains, in its entry of the store.
     void drain();
+    /// Leaves as planned: everything on it ends, and its entry is removed.
+    void leave();
     [[nodiscard]] std::string id();
     [[nodiscard]] bool runs(const std::string& task);
+    [[nodiscard]] std::size_t running_count();
 
   private:
     struct active_run {
