--- a/include/eelgrasslever/base/json.hpp
+++ b/include/eelgrasslever/base/json.hpp
@@ -4,6 +4,7 @@
 
 #include "eelgrasslever/base/error.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -35,10 +36,13 @@
 /// Parses @p text as a single JSON object, nested `max_json_depth` at most.
 /// @param step operation name for the error.
 /// @param peer source of the text, for the error.
+/// @param max_values of all levels together; 0: no limit. Each takes many times
+/// the memory of its text.
 /// @return the object, or `invalid_argument`.
 [[nodiscard]] result<nlohmann::json> parse_object(std::string_view text,
                                                   const std::string& step,
-                                                  const std::string& peer);
+                                                  const std::string& peer,
+                                                  std::size_t max_values = 0);
 
 /// Parses @p text into a type that has a `from_json` overload.
 /// @return the message, or `invalid_argument` if the text is not a JSON object
--- a/include/eelgrasslever/cluster/queue_table.hpp
+++ b/include/eelgrasslever/cluster/queue_table.hpp
@@ -5,6 +5,7 @@
 #include "eelgrasslever/workload/job.hpp"
 #include "eelgrasslever/workspace/directory.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -20,13 +21,21 @@
     bool is_public{false}; ///< calls need no key
 };
 
+/// What clients may send.
+struct client_limits {
+    /// Applies where the configuration sets no limit.
+    static constexpr std::size_t default_body_bytes = 1024 * 1024;
+    std::size_t max_body_bytes{default_body_bytes};
+};
+
 /// One version of the configuration. A new version replaces it as a whole.
 class queue_table {
   public:
     queue_table() = default;
     /// @param workspaces none: calls need no key.
     queue_table(std::uint64_t version, std::vector<queue_route> routes,
-                std::vector<workspace::policy> workspaces = {});
+                std::vector<workspace::policy> workspaces = {},
+                client_limits limits = {});
 
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// @return the number of routes.
@@ -43,8 +52,11 @@
         return m_workspaces;
     }
 
+    [[nodiscard]] const client_limits& limits() const { return m_limits; }
+
   private:
     std::uint64_t m_version{0};
+    client_limits m_limits;
     std::size_t m_route_count{0};
     /// By host, then by prefix.
     std::map<std::string, std::map<std::string, queue_route>> m_routes;
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -84,8 +84,7 @@
 
     /// Sets the limits and shares of workspaces. Runs that are beyond a lowered
     /// limit go on; nothing is started beside them.
-    void
-    set_workspaces(std::shared_ptr<const workspace::directory> workspaces);
+    void set_workspaces(std::shared_ptr<const workspace::directory> workspaces);
 
     // Replies to orders and calls.
     void on_started(const std::string& endpoint, const start_order& order,
--- a/review/stand_ins/cell.cpp
+++ b/review/stand_ins/cell.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr const char* program = "target/eelgrasslever-platformd";
 constexpr const char* host = "queue.example";
 constexpr const char* prefix = "/queue/";
 constexpr const char* service = "patronaje";
@@ -57,9 +56,9 @@
 
 } // namespace
 
-cell::cell(std::string folder, record_file& record)
-    : m_folder(std::move(folder)), m_record(record),
-      m_network(choose_network()), m_store(m_network + "1"),
+cell::cell(std::string folder, record_file& record, cell_options options)
+    : m_folder(std::move(folder)), m_options(std::move(options)),
+      m_record(record), m_network(choose_network()), m_store(m_network + "1"),
       m_advice(m_network + "2", 0, [](const http_request&) {
           return http_response{200, R"({"good":[],"validMs":2500})"};
       }) {}
@@ -83,6 +82,7 @@
               {"routes", json::array({route})},
               {"services", services},
               {"limits", json::object()}};
+    body.update(m_options.configuration);
     m_store.put("op/config", body.dump());
 }
 
@@ -127,7 +127,8 @@
         << "\nportRange=" << port(10) << "," << port(25)
         << "\nseeds=\nfirstStart=true\n"
         << "inTolerance=false\nlimits.cpuShare=0.25\nlimits.cores=1\n"
-        << "limits.memoryMb=260\nlimits.maxFds=4100\n"
+        << "limits.memoryMb=" << m_options.memory_mb
+        << "\nlimits.maxFds=" << m_options.max_descriptors << "\n"
         << "limits.linkMbps=1000.0\nlimits.diskMb=0\ndiscovery=platform\n"
         << "entry=vip\nheartbeatMs=1500\n"
         << "contracts=base,drain,config,cost,recover,sched,platform,advice,"
@@ -144,7 +145,8 @@
         << "\nplatform.address=" << m_store.address()
         << "\nplatform.form=kv\nplatform.writesPerS=400\n"
         << "platform.readsPerS=2000\nplatform.retentionS=20\n"
-        << "platform.valueBytes=1048576\nplatform.minTtlMs=1000\n";
+        << "platform.valueBytes=1048576\nplatform.minTtlMs=1000\n"
+        << m_options.more_settings;
 }
 
 void cell::start_node(std::size_t number) {
@@ -163,7 +165,7 @@
         pointers.push_back(each.data());
     }
     pointers.push_back(nullptr);
-    std::string path = program;
+    std::string path = m_options.program;
     char* arguments[] = {path.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -171,11 +173,11 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, log_mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    int error = posix_spawn(&node.pid, program, &actions, nullptr, arguments,
-                            pointers.data());
+    int error = posix_spawn(&node.pid, path.c_str(), &actions, nullptr,
+                            arguments, pointers.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
-        throw setup_error(std::string("can't start ") + program);
+        throw setup_error("can't start " + path);
     }
     m_record.write("node " + node.name + " is started");
 }
@@ -246,12 +248,15 @@
 std::optional<http_response>
 cell::call(std::size_t node, const std::string& method, const std::string& job,
            const std::string& body, milliseconds timeout) {
-    return send_request(
-        m_nodes[node].front(), method, prefix + job,
-        {{"Host", host},
-         {"Content-Type", "application/json"},
-         {"X-Eelgrasslever-Deadline-Ms", std::to_string(timeout.count())}},
-        body, timeout);
+    std::map<std::string, std::string> headers{
+        {"Host", host},
+        {"Content-Type", "application/json"},
+        {"X-Eelgrasslever-Deadline-Ms", std::to_string(timeout.count())}};
+    if (!m_key.empty()) {
+        headers["Authorization"] = "Bearer " + m_key;
+    }
+    return send_request(m_nodes[node].front(), method, prefix + job, headers,
+                        body, timeout);
 }
 
 std::optional<http_response> cell::submit(std::size_t node,
--- a/review/stand_ins/cell.hpp
+++ b/review/stand_ins/cell.hpp
@@ -19,10 +19,19 @@
     using std::runtime_error::runtime_error;
 };
 
+struct cell_options {
+    std::string program{"target/eelgrasslever-platformd"};
+    int memory_mb{260};        ///< of a VM
+    int max_descriptors{4100}; ///< of a process
+    std::string more_settings; ///< further lines for each settings file
+    /// Members of the configuration beside the queue, for example the tenants.
+    nlohmann::json configuration = nlohmann::json::object();
+};
+
 class cell {
   public:
     /// @param folder for settings and logs.
-    cell(std::string folder, record_file& record);
+    cell(std::string folder, record_file& record, cell_options options = {});
     ~cell();
     cell(const cell&) = delete;
     cell& operator=(const cell&) = delete;
@@ -43,6 +52,23 @@
     /// Waits until all VMs are ready and a first job has been completed.
     void wait_until_serving();
 
+    [[nodiscard]] pid_t process_of(std::size_t number) const {
+        return m_nodes[number].pid;
+    }
+    /// @return "IP:port" for clients.
+    [[nodiscard]] std::string client_address(std::size_t number) const {
+        return m_nodes[number].front();
+    }
+    [[nodiscard]] std::string readiness_address(std::size_t number) const {
+        return m_nodes[number].readiness();
+    }
+    /// Sets the key with which requests are sent from now on.
+    void use_key(const std::string& key) { m_key = key; }
+    /// Replaces `cell_options::configuration`, from the next `configure` on.
+    void set_configuration(const nlohmann::json& members) {
+        m_options.configuration = members;
+    }
+
     // Requests of clients. The answers are recorded.
     std::optional<http_response>
     submit(std::size_t node, const std::string& job, const nlohmann::json& body,
@@ -81,6 +107,8 @@
     void write_settings(const node_process& node);
 
     std::string m_folder;
+    cell_options m_options;
+    std::string m_key;
     record_file& m_record;
     std::string m_network; ///< first bytes of all addresses
     store m_store;
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -41,8 +41,55 @@
     return found == in.end() ? otherwise : to_whole(*found, least, most);
 }
 
+namespace {
+
+/// Counts values without keeping them, and ends at a limit.
+class value_counter final : public nlohmann::json_sax<json> {
+  public:
+    explicit value_counter(std::size_t limit) : m_left(limit) {}
+    bool null() override { return count(); }
+    bool boolean(bool) override { return count(); }
+    bool number_integer(number_integer_t) override { return count(); }
+    bool number_unsigned(number_unsigned_t) override { return count(); }
+    bool number_float(number_float_t, const string_t&) override {
+        return count();
+    }
+    bool string(string_t&) override { return count(); }
+    bool binary(binary_t&) override { return count(); }
+    bool start_object(std::size_t) override { return count(); }
+    bool key(string_t&) override { return true; }
+    bool end_object() override { return true; }
+    bool start_array(std::size_t) override { return count(); }
+    bool end_array() override { return true; }
+    bool parse_error(std::size_t, const std::string&,
+                     const json::exception&) override {
+        return false;
+    }
+    [[nodiscard]] bool is_exceeded() const { return m_is_exceeded; }
+
+  private:
+    bool count() {
+        m_is_exceeded = m_left == 0;
+        m_left -= m_is_exceeded ? 0 : 1;
+        return !m_is_exceeded;
+    }
+    std::size_t m_left;
+    bool m_is_exceeded{false};
+};
+
+} // namespace
+
 result<json> parse_object(std::string_view text, const std::string& step,
-                          const std::string& peer) {
+                          const std::string& peer, std::size_t max_values) {
+    if (max_values > 0) {
+        value_counter counter(max_values);
+        json::sax_parse(text, &counter);
+        if (counter.is_exceeded()) {
+            return fail(error_code::invalid_argument, step, peer,
+                        "the text has more than " + std::to_string(max_values) +
+                            " values");
+        }
+    }
     bool is_too_deep = false;
     auto limit_depth = [&](int depth, json::parse_event_t, json&) {
         is_too_deep |= depth > max_json_depth;
--- a/src/cluster/limited_steps.cpp
+++ b/src/cluster/limited_steps.cpp
@@ -29,9 +29,9 @@
     return first != steps.end() && *first < rank;
 }
 
-std::vector<step_rank> limited_steps::release(
-    const std::string& workspace,
-    const std::function<bool(const step_rank&)>& admits) {
+std::vector<step_rank>
+limited_steps::release(const std::string& workspace,
+                       const std::function<bool(const step_rank&)>& admits) {
     std::vector<step_rank> result;
     auto found = m_steps.find(workspace);
     if (found == m_steps.end()) {
--- a/src/cluster/queue_table.cpp
+++ b/src/cluster/queue_table.cpp
@@ -5,10 +5,11 @@
 namespace eelgrasslever::cluster {
 
 queue_table::queue_table(std::uint64_t version, std::vector<queue_route> routes,
-                         std::vector<workspace::policy> workspaces)
-    : m_version(version), m_route_count(routes.size()),
-      m_workspaces(std::make_shared<const workspace::directory>(
-          std::move(workspaces))) {
+                         std::vector<workspace::policy> workspaces,
+                         client_limits limits)
+    : m_version(version), m_limits(limits), m_route_count(routes.size()),
+      m_workspaces(
+          std::make_shared<const workspace::directory>(std::move(workspaces))) {
     for (queue_route& route : routes) {
         std::string prefix = route.prefix;
         m_routes[route.host][prefix] = std::move(route);
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -730,11 +730,9 @@
     // The endpoint may have shrunk since the placement.
     bool has_room = base::fits(endpoint.used, endpoint.listing.capacity);
     // The limit may have been lowered since.
-    bool is_limited =
-        m_usage.exceeds_limit(job.execution->job().workspace);
+    bool is_limited = m_usage.exceeds_limit(job.execution->job().workspace);
     if (job.execution->has_ended() || ticket_expired || !has_room ||
-        is_limited ||
-        !is_usable(endpoint, now)) {
+        is_limited || !is_usable(endpoint, now)) {
         abandon_run(endpoint, key, now);
         return;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,18 +1,23 @@
 #include "eelgrasslever/http/server.hpp"
 #include "eelgrasslever/http/code.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace eelgrasslever::http {
 
 namespace {
 
-constexpr unsigned max_connections = 4096;
 constexpr unsigned idle_timeout_seconds = 120;
+/// Larger bodies of unknown length get the room of the largest at once.
+constexpr std::size_t max_small_body_bytes = 16 * 1024;
+/// How often connections are checked for requests that don't end.
+constexpr base::milliseconds sweep_period{1000};
 constexpr const char* server_activity = "client_connections";
 constexpr const char* request_activity = "client_requests";
 
@@ -43,6 +48,18 @@
     return out;
 }
 
+/// @return the length that the header of the request announces for its body.
+std::optional<std::size_t> declared_bytes(const exchange& request) {
+    auto text = request.header("Content-Length");
+    std::size_t value = 0;
+    if (!text ||
+        std::from_chars(text->data(), text->data() + text->size(), value).ec !=
+            std::errc()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 MHD_Result queue_response(MHD_Connection* connection, const response& reply,
                           server_totals& totals) {
     MHD_Response* native = MHD_create_response_from_buffer(
@@ -62,6 +79,20 @@
 
 } // namespace
 
+/// A client's connection.
+struct server_connection {
+    int descriptor{-1};
+    /// Since when a complete request has been waited for: the connection began,
+    /// or the request before ended.
+    base::instant waiting_since{};
+    base::instant request_began_at{};
+    std::weak_ptr<exchange> request; ///< the one that is being received
+    std::size_t buffered{0};         ///< bytes of its body
+    bool is_handled{false}; ///< the handler has the request, and no response
+    bool is_evicted{false};
+    std::list<std::unique_ptr<server_connection>>::iterator place;
+};
+
 struct server::native {
     MHD_Daemon* daemon{nullptr};
     std::unique_ptr<kernel::descriptor_watch> watch;
@@ -73,6 +104,9 @@
                              const char* url, const char* method,
                              const char* version, const char* upload,
                              std::size_t* upload_size, void** connection_state);
+    static void connection_changed(void* context, MHD_Connection* connection,
+                                   void** socket_state,
+                                   MHD_ConnectionNotificationCode what);
     static void completed(void* context, MHD_Connection* connection,
                           void** connection_state,
                           MHD_RequestTerminationCode why);
@@ -92,24 +126,59 @@
         new_exchange->m_connection = connection;
         new_exchange->m_method = method;
         new_exchange->m_path = url;
+        const auto* info = MHD_get_connection_info(
+            connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+        new_exchange->m_state =
+            static_cast<server_connection*>(info->socket_context);
+        new_exchange->m_state->request = new_exchange;
+        new_exchange->m_state->request_began_at = base::monotonic_now();
+        new_exchange->m_declared_bytes =
+            declared_bytes(*new_exchange).value_or(0);
+        new_exchange->m_too_large =
+            new_exchange->m_declared_bytes > self.m_limits.max_body_bytes;
         *connection_state =
             new std::shared_ptr<exchange>(std::move(new_exchange));
         return MHD_YES;
     }
     auto& state = *static_cast<std::shared_ptr<exchange>*>(*connection_state);
+    if (state->m_state->is_evicted) {
+        return MHD_NO;
+    }
     if (*upload_size > 0) {
-        if (state->m_body.size() + *upload_size > max_body_bytes) {
-            state->m_too_large = true;
-        } else {
-            state->m_body.append(upload, *upload_size);
-        }
         self.m_totals.bytes_in += *upload_size;
+        bool goes_on = self.append_body(*state, upload, *upload_size);
         *upload_size = 0;
-        return MHD_YES;
+        return goes_on ? MHD_YES : MHD_NO;
     }
     return dispatch(self, state);
 }
 
+void server::native::connection_changed(void* context,
+                                        MHD_Connection* connection,
+                                        void** socket_state,
+                                        MHD_ConnectionNotificationCode what) {
+    auto& self = *static_cast<server*>(context);
+    if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        auto* closed = static_cast<server_connection*>(*socket_state);
+        self.m_buffered -= closed->buffered;
+        self.m_connections.erase(closed->place);
+        return;
+    }
+    // One place stays free, as the server accepts none without.
+    if (self.m_connections.size() + 1 >= self.m_limits.max_connections) {
+        self.evict_oldest(&server_totals::closed_for_connections, false);
+    }
+    auto opened = std::make_unique<server_connection>();
+    opened->descriptor =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    opened->waiting_since = base::monotonic_now();
+    *socket_state = opened.get();
+    server_connection* raw = opened.get();
+    raw->place =
+        self.m_connections.insert(self.m_connections.end(), std::move(opened));
+}
+
 MHD_Result server::native::dispatch(server& self,
                                     const std::shared_ptr<exchange>& state) {
     if (!state->m_dispatched) {
@@ -118,14 +187,18 @@
         if (state->m_too_large) {
             response reply;
             reply.status = code::payload_too_large;
-            reply.body = R"({"title":"the body is larger than 1 MiB"})";
+            reply.body = R"({"title":"the body is larger than allowed"})";
             state->m_response = std::move(reply);
+            self.m_totals.bodies_too_large++;
         } else {
+            state->m_state->is_handled = true;
             kernel::activity measured(self.m_event_loop, request_activity);
             self.m_on_request(state);
         }
     }
     if (state->m_response) {
+        state->m_state->is_handled = false;
+        self.begin_waiting(*state->m_state);
         state->m_suspended = false;
         return queue_response(state->m_connection, *state->m_response,
                               self.m_totals);
@@ -142,29 +215,123 @@
     if (state == nullptr) {
         return;
     }
-    (*state)->m_connection = nullptr;
+    exchange& ended = **state;
+    ended.release_body();
+    server_connection& connection = *ended.m_state;
+    connection.is_handled = false;
+    connection.request.reset();
+    ended.m_server->begin_waiting(connection);
+    ended.m_connection = nullptr;
+    ended.m_state = nullptr;
     delete state;
     *connection_state = nullptr;
 }
 
-server::server(kernel::loop& event_loop, handler on_request)
+void server::begin_waiting(server_connection& connection) {
+    connection.waiting_since = base::monotonic_now();
+    m_connections.splice(m_connections.end(), m_connections, connection.place);
+}
+
+bool server::append_body(exchange& request, const char* data,
+                         std::size_t size) {
+    if (request.m_too_large ||
+        request.m_body.size() + size > m_limits.max_body_bytes) {
+        request.m_too_large = true;
+        request.release_body();
+        return true;
+    }
+    while (m_buffered + size > m_limits.max_buffered_bytes) {
+        if (!evict_oldest(&server_totals::closed_for_memory, true) ||
+            request.m_state->is_evicted) {
+            m_totals.closed_for_memory++;
+            return false;
+        }
+    }
+    // Growing a large body would hold it twice. Memory that no byte is written
+    // to isn't taken from the system.
+    std::size_t needed = request.m_body.size() + size;
+    if (needed > request.m_body.capacity()) {
+        std::size_t expected = needed > max_small_body_bytes
+                                   ? m_limits.max_body_bytes
+                                   : request.m_declared_bytes;
+        request.m_body.reserve(std::max(needed, expected));
+    }
+    request.m_body.append(data, size);
+    request.m_state->buffered += size;
+    m_buffered += size;
+    return true;
+}
+
+bool server::evict_oldest(std::uint64_t server_totals::*counter,
+                          bool holds_body) {
+    for (const auto& it : m_connections) {
+        bool has_enough = !holds_body || it->buffered > 0;
+        if (!it->is_handled && !it->is_evicted && has_enough) {
+            evict(*it, counter);
+            return true;
+        }
+    }
+    return false;
+}
+
+// libmicrohttpd closes the connection once it sees the end of the stream.
+void server::evict(server_connection& connection,
+                   std::uint64_t server_totals::*counter) {
+    connection.is_evicted = true;
+    m_totals.*counter += 1;
+    if (auto request = connection.request.lock()) {
+        request->release_body();
+    }
+    shutdown(connection.descriptor, SHUT_RDWR);
+}
+
+void server::close_overdue() {
+    auto now = base::monotonic_now();
+    for (const auto& it : m_connections) {
+        auto request = it->request.lock();
+        bool is_overdue =
+            request && now - it->request_began_at > m_limits.request_timeout;
+        bool is_idle = now - it->waiting_since >
+                       std::chrono::seconds(idle_timeout_seconds);
+        if (!it->is_handled && !it->is_evicted && (is_overdue || is_idle)) {
+            evict(*it, &server_totals::closed_for_time);
+        }
+    }
+}
+
+void exchange::release_body() {
+    std::string().swap(m_body);
+    if (m_state != nullptr) {
+        m_server->m_buffered -= m_state->buffered;
+        m_state->buffered = 0;
+    }
+}
+
+server::server(kernel::loop& event_loop, handler on_request,
+               server_limits limits)
     : m_event_loop(event_loop), m_on_request(std::move(on_request)),
-      m_native(std::make_unique<native>()) {}
+      m_native(std::make_unique<native>()), m_limits(limits),
+      m_sweep_timer(event_loop, [this] { close_overdue(); }) {
+    m_sweep_timer.start_every(sweep_period);
+}
 
 base::result<std::unique_ptr<server>> server::listen(kernel::loop& event_loop,
                                                      const std::string& address,
-                                                     handler on_request) {
+                                                     handler on_request,
+                                                     server_limits limits) {
     auto parsed = parse_address(address);
     if (!parsed) {
         return tl::unexpected(parsed.error());
     }
-    std::unique_ptr<server> self(new server(event_loop, std::move(on_request)));
+    std::unique_ptr<server> self(
+        new server(event_loop, std::move(on_request), limits));
     server* raw = self.get();
     sockaddr_in bound = *parsed;
     raw->m_native->daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
         &native::access, raw, MHD_OPTION_SOCK_ADDR, &bound,
-        MHD_OPTION_CONNECTION_LIMIT, max_connections,
+        MHD_OPTION_CONNECTION_LIMIT, limits.max_connections,
+        MHD_OPTION_NOTIFY_CONNECTION, &native::connection_changed, raw,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_seconds,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
         &native::completed, raw, MHD_OPTION_END);
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -267,14 +267,13 @@
     }
     std::uint64_t active_version = m_queues ? m_queues->version() : 0;
     bool is_newer = next->version() > active_version;
-    observe::log_event(is_newer ? "configuration_in_force"
-                                : "configuration_ignored",
-                       {{"version", std::to_string(next->version())},
-                        {"present", std::to_string(active_version)},
-                        {"queues", std::to_string(next->size())},
-                        {"workspaces",
-                         std::to_string(
-                             next->workspaces()->policies().size())}});
+    observe::log_event(
+        is_newer ? "configuration_in_force" : "configuration_ignored",
+        {{"version", std::to_string(next->version())},
+         {"present", std::to_string(active_version)},
+         {"queues", std::to_string(next->size())},
+         {"workspaces",
+          std::to_string(next->workspaces()->policies().size())}});
     if (is_newer) {
         m_queues = std::make_unique<cluster::queue_table>(*std::move(next));
         if (m_scheduler) {
@@ -406,8 +405,8 @@
     m_last_tick_at = base::monotonic_now();
     remove_lapsed_endpoints(m_last_tick_at);
     // The limits of workspaces aren't known before the configuration is.
-    bool may_place = m_store.reachable(m_last_tick_at) &&
-                     m_configuration_watcher->loaded();
+    bool may_place =
+        m_store.reachable(m_last_tick_at) && m_configuration_watcher->loaded();
     m_scheduler->tick(m_last_tick_at, base::wall_now(),
                       {has_order_authority(), may_place});
     if (!m_tick_scheduled) {
--- a/src/workspace/usage.cpp
+++ b/src/workspace/usage.cpp
@@ -23,8 +23,8 @@
 
 int tasks_within(const base::resources& cap, const base::resources& running,
                  const base::resources& need, int wanted) {
-    int result =
-        tasks_by_amount(cap.cpu_milli, running.cpu_milli, need.cpu_milli, wanted);
+    int result = tasks_by_amount(cap.cpu_milli, running.cpu_milli,
+                                 need.cpu_milli, wanted);
     result = tasks_by_amount(cap.memory_mb, running.memory_mb, need.memory_mb,
                              result);
     return tasks_by_amount(cap.accelerators, running.accelerators,
@@ -64,8 +64,9 @@
 int usage::tasks_allowed(const std::string& workspace,
                          const base::resources& need, int wanted) const {
     const base::resources* cap = cap_of(workspace);
-    return cap == nullptr ? wanted
-                          : tasks_within(*cap, running(workspace), need, wanted);
+    return cap == nullptr
+               ? wanted
+               : tasks_within(*cap, running(workspace), need, wanted);
 }
 
 bool usage::exceeds_limit(const std::string& workspace) const {
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -279,8 +279,8 @@
         for (const std::string& violation : result.violations) {
             BOOST_ERROR("seed " + std::to_string(seed) + ": " + violation);
         }
-        BOOST_TEST(result.open_jobs == "", "seed " << seed << ": not ended: "
-                                                   << result.open_jobs);
+        BOOST_TEST(result.open_jobs == "",
+                   "seed " << seed << ": not ended: " << result.open_jobs);
     }
 }
 
--- /dev/null
+++ b/tests/door/revocation_test.cpp
@@ -0,0 +1,121 @@
+// Keys of workspaces, with the system's own processes: whom a VM serves while
+// it can't know the newest configuration.
+#include "cell.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+
+
+namespace {
+
+/// Within this time a withdrawn key must be refused everywhere.
+constexpr review::milliseconds revocation_bound{3000};
+constexpr review::milliseconds answer_limit{10'000};
+const std::string job = "00000000000000f1";
+
+nlohmann::json make_tenants(const std::vector<std::string>& keys) {
+    nlohmann::json tenant{
+        {"name", "t1"}, {"apiKeys", keys}, {"weight", 10}, {"priority", 1}};
+    return {{"tenants", nlohmann::json::array({tenant})}};
+}
+
+struct fixture {
+    fixture() {
+        review::cell_options options;
+        options.program = EEL_PLATFORM_PROGRAM;
+        options.more_settings = "bounds.strictRevoke=true\nbounds.revokeMs=" +
+                                std::to_string(revocation_bound.count()) + "\n";
+        options.configuration = make_tenants({"key-1", "key-2"});
+        cell = std::make_unique<review::cell>(folder, record, options);
+        cell->configure(nlohmann::json::object());
+        cell->add_worker("i-a1", "a", "r-1");
+        cell->add_node("escazu");
+        cell->use_key("key-1");
+        cell->wait_until_serving();
+    }
+    ~fixture() {
+        cell.reset();
+        std::filesystem::remove_all(folder);
+    }
+    static std::string make_folder() {
+        std::string name =
+            std::filesystem::temp_directory_path() / "keysXXXXXX";
+        return mkdtemp(name.data());
+    }
+    /// @return the status of the answer, or 0 if there is none.
+    int submit(const std::string& key) {
+        cell->use_key(key);
+        auto reply = cell->submit(
+            0, job,
+            review::make_job({{"work_ms", 10}}, nlohmann::json::object()),
+            answer_limit);
+        return reply ? reply->status : 0;
+    }
+    void withdraw_first_key() {
+        cell->set_configuration(make_tenants({"key-2"}));
+        cell->configure(nlohmann::json::object());
+    }
+    /// Asks until the answer has the status.
+    bool is_answered_with(const std::string& key, int status) {
+        for (int tries = 0; tries < 100; ++tries) {
+            if (submit(key) == status) {
+                return true;
+            }
+            std::this_thread::sleep_for(review::milliseconds(100));
+        }
+        return false;
+    }
+
+    std::string folder{make_folder()};
+    review::record_file record{folder + "/record.txt"};
+    std::unique_ptr<review::cell> cell;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(keys_at_the_door, fixture)
+
+// Calls without a key, and with keys of no configuration, were served.
+BOOST_AUTO_TEST_CASE(only_known_keys_are_served) {
+    BOOST_TEST(submit("") == 401);
+    BOOST_TEST(submit("key-3") == 401);
+    BOOST_TEST(submit("key-2") == 200);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_key_is_refused_also_after_a_restart) {
+    withdraw_first_key();
+    BOOST_TEST(is_answered_with("key-1", 401));
+    cell->kill_node(0);
+    cell->start_node(0);
+    BOOST_TEST(is_answered_with("key-2", 200));
+    BOOST_TEST(submit("key-1") == 401);
+}
+
+// A VM that the store did not answer went on serving a withdrawn key.
+BOOST_AUTO_TEST_CASE(old_configuration_serves_no_key) {
+    cell->platform().set_down(true);
+    std::this_thread::sleep_for(revocation_bound);
+    int status = submit("key-1");
+    BOOST_TEST((status == 503 || status == 0), "answered with " << status);
+    cell->platform().set_down(false);
+    BOOST_TEST(is_answered_with("key-1", 200));
+}
+
+// A process that stood still acted on what it knew before: the call was in its
+// socket when it went on.
+BOOST_AUTO_TEST_CASE(paused_process_serves_no_withdrawn_key) {
+    cell->signal_node(0, SIGSTOP);
+    withdraw_first_key();
+    std::this_thread::sleep_for(revocation_bound);
+    int status = 0;
+    std::thread client([&] { status = submit("key-1"); });
+    std::this_thread::sleep_for(review::milliseconds(300));
+    cell->signal_node(0, SIGCONT);
+    client.join();
+    BOOST_TEST((status == 401 || status == 503), "answered with " << status);
+    BOOST_TEST(is_answered_with("key-2", 200));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -254,8 +254,8 @@
           R"({"tenants":[{"name":"t","apiKeys":"k"}]})",
           R"({"tenants":[{"name":"t","apiKeys":[],"weight":-1}]})",
           R"({"tenants":[{"name":"t","apiKeys":[],"cap":{"cpu":"x"}}]})"}) {
-        std::string text = R"({"version":7,"routes":[],)" +
-                           std::string(invalid).substr(1);
+        std::string text =
+            R"({"version":7,"routes":[],)" + std::string(invalid).substr(1);
         BOOST_TEST(
             !platform::decode_configuration(make_entry("op/config", text)),
             invalid);
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -457,8 +457,8 @@
 void fake_fleet::set_workspaces(std::vector<workspace::policy> policies) {
     m_former_workspaces = m_workspaces;
     m_workspaces_since = m_now;
-    m_workspaces = std::make_shared<const workspace::directory>(
-        std::move(policies));
+    m_workspaces =
+        std::make_shared<const workspace::directory>(std::move(policies));
     if (m_leader) {
         tell(m_term,
              [&](auto& leader) { leader.set_workspaces(m_workspaces); });
--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -118,10 +118,8 @@
     std::chrono::sys_time<base::milliseconds> time(100 * second);
     int within_rate = 0;
     for (int i = 0; i < 100; ++i) {
-        within_rate += arrivals.add("flood", time + base::milliseconds(i),
-                                    weight)
-                           ? 0
-                           : 1;
+        within_rate +=
+            arrivals.add("flood", time + base::milliseconds(i), weight) ? 0 : 1;
         BOOST_TEST(!arrivals.add("none", time, 0.0));
     }
     BOOST_TEST(within_rate == 10);
