Placement: urgent work goes to fast endpoints where speeds differ

Change: endpoint_speeds compares the runs of endpoints with their estimates, centred by queue. Where the fastest and the slowest third differ by 1.8 or more, urgent steps prefer fast endpoints, the headroom for urgent work lies on them, gangs leave them and are not mixed over two speeds, and expected ends are scaled. Test: urgent_work_runs_on_fast_endpoints and the module's own.

--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -3,6 +3,7 @@
 /// the runs that are or may be alive on it.
 #pragma once
 
+#include "eelgrasslever/cluster/endpoint_speeds.hpp"
 #include "eelgrasslever/cluster/orders.hpp"
 #include "eelgrasslever/cluster/room_reservations.hpp"
 
@@ -47,6 +48,8 @@
     base::instant
         start_expires{}; ///< the endpoint refuses the start afterwards
     base::instant started_at{};
+    /// This leader has started it from the beginning of its work.
+    bool is_timed{false};
     /// How long an earlier leader may have seen it running.
     base::milliseconds assumed_age{0};
     /// When the run was known first to have been started.
@@ -116,6 +119,8 @@
     /// Place among the usable endpoints by `reserve_order`; the first ones are
     /// kept for urgent work. Only the places that can matter are told apart.
     std::size_t reserve_rank{0};
+    speed_class speed{speed_class::usual};
+    double speed_factor{1.0}; ///< relative to the median endpoint
     std::uint64_t usable_in{0}; ///< latest placement pass that may use it
     std::optional<base::instant> unlisted_at;
     bool listed{false}; ///< the registry contains the endpoint
--- a/include/eelgrasslever/cluster/fit.hpp
+++ b/include/eelgrasslever/cluster/fit.hpp
@@ -21,6 +21,9 @@
     bool preferred{true};    ///< near the step's data
     base::resources idle;    ///< what would be available if nothing ran there
     std::uint32_t number{0}; ///< of the endpoint within the leadership
+    /// How well the endpoint's speed suits the step; of preferred endpoints,
+    /// those with a higher value come first.
+    int speed_preference{0};
 };
 
 /// @return how many tasks of @p need fit into @p available, at most @p limit.
@@ -40,7 +43,9 @@
 assign_best_fit(const base::resources& need, int count,
                 std::vector<fit_candidate> candidates);
 
-/// Assigns all of @p count tasks or none, to as few endpoints as possible.
+/// Assigns all of @p count tasks or none, to as few endpoints as possible. The
+/// endpoints have the same speed preference if they can: a gang is as slow as
+/// its slowest member, and its place on a faster endpoint is half wasted.
 /// @param one_rack use a single rack if one has enough capacity.
 /// @return an index into @p candidates for each task; empty if they don't fit.
 [[nodiscard]] std::vector<std::size_t>
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -6,6 +6,7 @@
 
 #include "eelgrasslever/cluster/advice_call_pool.hpp"
 #include "eelgrasslever/cluster/endpoint_health.hpp"
+#include "eelgrasslever/cluster/endpoint_speeds.hpp"
 #include "eelgrasslever/cluster/endpoint_state.hpp"
 #include "eelgrasslever/cluster/fit.hpp"
 #include "eelgrasslever/cluster/incarnation.hpp"
@@ -220,6 +221,10 @@
     [[nodiscard]] fencing_token token_for(const endpoint_state& endpoint) const;
     void release_run(endpoint_state& endpoint, const run_key& key);
     void adjust_live_runs(const task_key& key, int change);
+    /// Learns the endpoint's speed from a run that has ended as done.
+    void measure_speed(const endpoint_state& endpoint,
+                       const workload::task_key& task, const allocation& run,
+                       base::milliseconds ran);
     void process_completion(endpoint_state& endpoint, const finished_task& end,
                             base::instant now);
     void apply_completion(endpoint_state& endpoint, const finished_task& end,
@@ -330,6 +335,12 @@
     void place_ready_steps(base::instant now);
     /// Counts the usable endpoints and clears their claims.
     void begin_pass(base::instant now);
+    /// Compares the speeds of the endpoints when that is due.
+    void update_speeds(base::instant now);
+    /// @return how well an endpoint's speed suits steps of a priority: fast
+    /// ones are for urgent work, and gangs leave them to it.
+    [[nodiscard]] static int speed_preference(speed_class speed, int priority,
+                                              bool gang);
     /// Determines which usable endpoints are kept for urgent work first.
     void rank_reserve();
     /// @return how much work may wait for room at the same time, as a share of
@@ -545,6 +556,8 @@
     std::set<std::string> m_jobs_with_unsent_starts;
     advice_call_pool m_advice_calls;
     endpoint_health m_health;
+    endpoint_speeds m_speeds;
+    base::instant m_speeds_compared_at{};
     bool m_placement_needed{true};
     base::instant m_last_placement_at{};
     /// Counts since they were taken last.
--- a/src/cluster/fit.cpp
+++ b/src/cluster/fit.cpp
@@ -1,8 +1,10 @@
 #include "eelgrasslever/cluster/fit.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace eelgrasslever::cluster {
 
@@ -24,6 +26,17 @@
     return static_cast<int>(std::min<std::int64_t>(limit, available / need));
 }
 
+/// @return whether a single task goes to @p a rather than to @p b.
+bool precedes(const fit_candidate& a, const fit_candidate& b) {
+    if (a.preferred != b.preferred) {
+        return a.preferred;
+    }
+    if (a.speed_preference != b.speed_preference) {
+        return a.speed_preference > b.speed_preference;
+    }
+    return a.available.cpu_milli < b.available.cpu_milli;
+}
+
 /// @return the preferred candidate with the least available processors that
 /// still fits one task, or nothing.
 std::optional<std::size_t>
@@ -40,9 +53,7 @@
             continue;
         }
         const fit_candidate& other = candidates[*best];
-        if (it.preferred != other.preferred
-                ? it.preferred
-                : it.available.cpu_milli < other.available.cpu_milli) {
+        if (precedes(it, other)) {
             best = i;
         }
     }
@@ -52,15 +63,19 @@
 /// Assigns all tasks or none, filling the endpoints with the largest available
 /// capacity first.
 /// @param rack the only rack to use; nullptr: any rack.
+/// @param speed the only speed preference to use; unset: any.
 std::vector<std::size_t>
 pack_densely(const base::resources& need, int count,
              const std::vector<fit_candidate>& candidates,
-             const std::string_view* rack) {
+             const std::string_view* rack,
+             std::optional<int> speed = std::nullopt) {
     std::vector<std::pair<int, std::size_t>> order;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const fit_candidate& it = candidates[i];
         int fits = tasks_that_fit(need, it.available, it.max_tasks);
-        if (fits > 0 && (rack == nullptr || it.rack == *rack)) {
+        bool suits = (rack == nullptr || it.rack == *rack) &&
+                     (!speed || it.speed_preference == *speed);
+        if (fits > 0 && suits) {
             order.emplace_back(fits, i);
         }
     }
@@ -121,6 +136,17 @@
 assign_gang(const base::resources& need, int count,
             const std::vector<fit_candidate>& candidates, bool one_rack) {
     if (!one_rack) {
+        std::set<int, std::greater<>> speeds;
+        for (const fit_candidate& it : candidates) {
+            speeds.insert(it.speed_preference);
+        }
+        for (int speed : speeds) {
+            auto result =
+                pack_densely(need, count, candidates, nullptr, speed);
+            if (!result.empty() || speeds.size() == 1) {
+                return result;
+            }
+        }
         return pack_densely(need, count, candidates, nullptr);
     }
     std::map<std::string_view, int> tasks_by_rack;
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -127,6 +127,10 @@
         if (a.candidate->preferred != b.candidate->preferred) {
             return a.candidate->preferred;
         }
+        if (a.candidate->speed_preference != b.candidate->speed_preference) {
+            return a.candidate->speed_preference >
+                   b.candidate->speed_preference;
+        }
         if (gang || a.fits == 0) {
             return a.candidate->available.cpu_milli >
                    b.candidate->available.cpu_milli;
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -305,6 +305,22 @@
     }
 }
 
+void scheduler::measure_speed(const endpoint_state& endpoint,
+                              const workload::task_key& task,
+                              const allocation& run, base::milliseconds ran) {
+    tracked_job* job = find_job(task.job);
+    if (job == nullptr || !run.is_timed) {
+        return;
+    }
+    const workload::step& spec =
+        job->execution->job().steps[static_cast<std::size_t>(task.step)];
+    // The members of a gang end together, whatever their endpoints' speeds.
+    if (!spec.gang && !spec.long_running) {
+        m_speeds.add_run(endpoint.listing.id, job->execution->job().queue.name,
+                         spec.estimated_duration, ran);
+    }
+}
+
 void scheduler::process_completion(endpoint_state& endpoint,
                                    const finished_task& completion,
                                    base::instant now) {
@@ -318,6 +334,9 @@
     if (found != endpoint.runs.end()) {
         ran = now - found->second.started_at;
         survived = found->second.survived();
+        if (completion.outcome == task_outcome::done) {
+            measure_speed(endpoint, completion.task, found->second, ran);
+        }
         release_run(endpoint, {completion.task, completion.run});
     }
     observe::log_event("task_ended",
@@ -676,6 +695,7 @@
     if (!endpoint.listed) {
         mark_terminated(endpoint);
         m_health.forget(endpoint.listing.id);
+        m_speeds.forget(endpoint.listing.id);
     }
 }
 
--- a/src/cluster/scheduler_lives.cpp
+++ b/src/cluster/scheduler_lives.cpp
@@ -116,6 +116,7 @@
     }
     mark_terminated(former);
     m_health.forget(former.listing.id);
+    m_speeds.forget(former.listing.id);
     if (proven) {
         drop_all_runs(former, loss_cause::other_incarnation, now);
         return;
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -29,6 +29,8 @@
 /// advice and the start have to fit in the 3 s within which the platform wants
 /// work to start beside free room.
 constexpr base::milliseconds max_deferral_beside_room{1000};
+/// Endpoints' speeds change seldom, and comparing them looks at all of them.
+constexpr base::milliseconds speed_comparison_period{1000};
 /// Waiting steps that one pass reports.
 constexpr std::size_t max_wait_reports = 4;
 
@@ -51,6 +53,12 @@
     return spec.long_running ? lasting : spec.estimated_duration;
 }
 
+/// @return how long work takes at a speed.
+base::milliseconds scaled(base::milliseconds duration, double speed) {
+    return base::milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(duration.count()) / speed));
+}
+
 bool has_ticket(const step_advice& advice, base::instant now) {
     return advice.last_valid_until > now &&
            std::any_of(
@@ -91,17 +99,51 @@
                 base::component_max(m_largest_free, endpoint.free_resources());
         }
     }
+    update_speeds(now);
     rank_reserve();
     resume_limited_steps();
 }
 
+void scheduler::update_speeds(base::instant now) {
+    if (now - m_speeds_compared_at < speed_comparison_period) {
+        return;
+    }
+    m_speeds_compared_at = now;
+    bool was_uneven = m_speeds.is_uneven();
+    m_speeds.compare();
+    std::size_t fast = 0;
+    for (auto& [id, endpoint] : m_endpoints) {
+        endpoint.speed = m_speeds.class_of(id);
+        endpoint.speed_factor = m_speeds.factor_of(id);
+        fast += endpoint.speed == speed_class::fast ? 1 : 0;
+    }
+    if (was_uneven != m_speeds.is_uneven()) {
+        observe::log_event("endpoint_speeds_compared",
+                           {{"uneven", m_speeds.is_uneven() ? "1" : "0"},
+                            {"fast", std::to_string(fast)},
+                            {"endpoints", std::to_string(m_endpoints.size())}});
+    }
+}
+
+int scheduler::speed_preference(speed_class speed, int priority, bool gang) {
+    bool fast = speed == speed_class::fast;
+    if (priority == 0) {
+        return fast ? 1 : speed == speed_class::slow ? -1 : 0;
+    }
+    return gang && fast ? -1 : 0;
+}
+
 void scheduler::rank_reserve() {
     auto count = static_cast<std::size_t>(std::ceil(
         m_limits.urgent_headroom * static_cast<double>(m_usable.size())));
     std::vector<endpoint_state*> reserve(count);
     std::partial_sort_copy(m_usable.begin(), m_usable.end(), reserve.begin(),
                            reserve.end(), [](const auto* a, const auto* b) {
-                               return a->reserve_order < b->reserve_order;
+                               bool a_fast = a->speed == speed_class::fast;
+                               bool b_fast = b->speed == speed_class::fast;
+                               return a_fast != b_fast
+                                          ? a_fast
+                                          : a->reserve_order < b->reserve_order;
                            });
     for (std::size_t i = 0; i < count; ++i) {
         reserve[i]->reserve_rank = i;
@@ -420,7 +462,9 @@
                            1) > 0;
         result.push_back({endpoint.listing.id, endpoint.listing.rack, available,
                           max_tasks, near_data && unclaimed, idle,
-                          endpoint.number});
+                          endpoint.number,
+                          speed_preference(endpoint.speed, rank.priority,
+                                           step_spec.gang)});
     };
     bool needs_ticket = filter == candidate_filter::with_ticket;
     bool known_only = needs_ticket || filter == candidate_filter::admitted;
@@ -685,9 +729,11 @@
     allocated.need = spec.need;
     allocated.phase = allocation_phase::recording;
     allocated.started_at = now;
+    allocated.is_timed = checkpoint.empty();
     allocated.percent_changed_at = now;
     allocated.progress_since = now;
-    allocated.expected_end = now + expected_duration(spec);
+    allocated.expected_end =
+        now + scaled(expected_duration(spec), endpoint.speed_factor);
     allocated.checkpoint = checkpoint;
     auto ticket = step->advice.admitted.find(endpoint.number);
     if (ticket != step->advice.admitted.end()) {
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -632,6 +632,11 @@
     m_starts++;
     m_first_start.try_emplace(order.task.job, m_now);
     milliseconds work = task_duration(order.task);
+    if (speed_of) {
+        std::string name = cluster::parse_incarnation(endpoint.listing.id).name;
+        work = milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(work.count()) / speed_of(name)));
+    }
     fake_endpoint::run run;
     run.started_at = m_now;
     run.work = work;
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -171,6 +171,8 @@
     [[nodiscard]] std::optional<instant> ended_at(const std::string& id) const;
 
     std::function<milliseconds(const workload::task_key&)> task_duration;
+    /// Speed of an endpoint, by name.
+    std::function<double(const std::string&)> speed_of;
     /// Whether the advice service admits a step to an endpoint.
     std::function<bool(const workload::task_key&, const std::string&)> admits;
     /// How long the advice service takes for a call.
