Cancelling an unknown job leaves a mark that its submission meets

Cause: for an id that the store does not hold, cancel answered without writing. Change: it stores the cancellation first, and answers 503 if it can't. View and scheduler already cancel a job that appears after it. Tests: cancellation_of_an_unknown_job_meets_its_submission, cancellation_that_leaves_no_mark_is_not_acknowledged.

--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -120,7 +120,7 @@
     /// kept for urgent work. Only the places that can matter are told apart.
     std::size_t reserve_rank{0};
     speed_class speed{speed_class::usual};
-    double speed_factor{1.0}; ///< relative to the median endpoint
+    double speed_factor{1.0};   ///< relative to the median endpoint
     std::uint64_t usable_in{0}; ///< latest placement pass that may use it
     std::optional<base::instant> unlisted_at;
     bool listed{false}; ///< the registry contains the endpoint
--- a/include/eelgrasslever/cluster/job_service.hpp
+++ b/include/eelgrasslever/cluster/job_service.hpp
@@ -91,8 +91,9 @@
     /// @param deadline when the client stops waiting.
     void submit(const workload::job& job, base::instant deadline,
                 const std::function<void(submit_result)>& done);
-    /// Stores a cancellation request. Cancelling a job that has ended
-    /// succeeds.
+    /// Stores a cancellation request, also of an unknown job: a submission that
+    /// is stored later is then cancelled at once. Cancelling a job that has
+    /// ended succeeds.
     /// @param deadline when the client stops waiting.
     void cancel(const std::string& id, base::instant deadline,
                 const std::function<void(cancel_result)>& done);
--- a/include/eelgrasslever/cluster/job_view.hpp
+++ b/include/eelgrasslever/cluster/job_view.hpp
@@ -33,6 +33,7 @@
     coordination::revision job_revision{coordination::absent};
     coordination::revision progress_revision{coordination::absent};
     bool cancel_requested{false};
+    base::instant cancel_seen_at{}; ///< when this VM first saw the request
     /// Whether a client was told that the job runs, before the view showed it.
     bool reported_running{false};
     base::instant ended_at{}; ///< when this VM first saw a terminal state
@@ -43,6 +44,11 @@
         return job || progress_revision != coordination::absent ||
                workload::is_terminal(progress.state);
     }
+    /// @return whether nothing but a cancellation is known, and that since
+    /// before @p time.
+    [[nodiscard]] bool is_unmet_cancellation(base::instant time) const {
+        return cancel_requested && !is_known() && cancel_seen_at < time;
+    }
 };
 
 /// How a change of the store affects a job.
@@ -101,7 +107,8 @@
                           const coordination::key_value& record,
                           base::instant now);
     change apply_cancel(const std::string& id,
-                        const coordination::key_value& record);
+                        const coordination::key_value& record,
+                        base::instant now);
     void erase_if_empty(const std::string& id);
     /// Changes the entry of @p id by @p change and keeps the numbers of queued
     /// jobs in step. The entry is created if it doesn't exist.
--- a/src/cluster/endpoint_speeds.cpp
+++ b/src/cluster/endpoint_speeds.cpp
@@ -63,8 +63,8 @@
     double ratio = std::log(static_cast<double>(estimated.count()) /
                             static_cast<double>(ran.count()));
     mean& usual = m_queues[queue];
-    double deviation = std::clamp(ratio - usual.value(), -max_deviation,
-                                  max_deviation);
+    double deviation =
+        std::clamp(ratio - usual.value(), -max_deviation, max_deviation);
     usual.add(ratio, max_queue_weight);
     m_endpoints[endpoint].add(deviation, max_endpoint_weight);
 }
--- a/src/cluster/fit.cpp
+++ b/src/cluster/fit.cpp
@@ -141,8 +141,7 @@
             speeds.insert(it.speed_preference);
         }
         for (int speed : speeds) {
-            auto result =
-                pack_densely(need, count, candidates, nullptr, speed);
+            auto result = pack_densely(need, count, candidates, nullptr, speed);
             if (!result.empty() || speeds.size() == 1) {
                 return result;
             }
--- a/src/cluster/job_service.cpp
+++ b/src/cluster/job_service.cpp
@@ -172,7 +172,13 @@
     look_up_state(id, [self = shared_from_this(), id, deadline,
                        done](const state_result& found) {
         if (found.unknown_job) {
-            done(cancel_result::unknown_job);
+            // An attempt to hand the job in may still be under way. It meets
+            // the mark, and the job ends as cancelled.
+            self->write_cancel(id, deadline, [done](cancel_result marked) {
+                done(marked == cancel_result::cancelled
+                         ? cancel_result::unknown_job
+                         : marked);
+            });
         } else if (!found.state) {
             done(cancel_result::unavailable);
         } else if (workload::is_terminal(*found.state)) {
--- a/src/cluster/job_view.cpp
+++ b/src/cluster/job_view.cpp
@@ -56,7 +56,7 @@
         return apply_progress(*id, record, now);
     }
     if (auto id = strip_prefix(record.key, keys::cancel)) {
-        return apply_cancel(*id, record);
+        return apply_cancel(*id, record, now);
     }
     return {};
 }
@@ -136,7 +136,8 @@
 }
 
 job_view::change job_view::apply_cancel(const std::string& id,
-                                        const coordination::key_value& record) {
+                                        const coordination::key_value& record,
+                                        base::instant now) {
     if (record.deleted) {
         auto found = m_jobs.find(id);
         if (found != m_jobs.end()) {
@@ -145,7 +146,9 @@
         erase_if_empty(id);
         return {};
     }
-    m_jobs[id].cancel_requested = true;
+    job_entry& entry = m_jobs[id];
+    entry.cancel_seen_at = entry.cancel_requested ? entry.cancel_seen_at : now;
+    entry.cancel_requested = true;
     return {job_change_kind::cancel_requested, id};
 }
 
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -460,11 +460,10 @@
                            endpoint.reservations_before.available(
                                free - endpoint.claimed_before, end),
                            1) > 0;
-        result.push_back({endpoint.listing.id, endpoint.listing.rack, available,
-                          max_tasks, near_data && unclaimed, idle,
-                          endpoint.number,
-                          speed_preference(endpoint.speed, rank.priority,
-                                           step_spec.gang)});
+        result.push_back(
+            {endpoint.listing.id, endpoint.listing.rack, available, max_tasks,
+             near_data && unclaimed, idle, endpoint.number,
+             speed_preference(endpoint.speed, rank.priority, step_spec.gang)});
     };
     bool needs_ticket = filter == candidate_filter::with_ticket;
     bool known_only = needs_ticket || filter == candidate_filter::admitted;
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -238,12 +238,18 @@
     }
     std::size_t removed = 0;
     for (const auto& [id, entry] : m_job_view.all()) {
-        if (!workload::is_terminal(entry.progress.state) ||
-            now - entry.ended_at < cluster::ended_jobs::retention) {
+        bool is_unmet =
+            entry.is_unmet_cancellation(now - cluster::ended_jobs::retention);
+        bool has_expired =
+            workload::is_terminal(entry.progress.state) &&
+            now - entry.ended_at >= cluster::ended_jobs::retention;
+        if (!is_unmet && !has_expired) {
             continue;
         }
         coordination::proposal next;
-        next.change.removals.push_back(cluster::keys::progress + id);
+        if (has_expired) {
+            next.change.removals.push_back(cluster::keys::progress + id);
+        }
         if (entry.cancel_requested) {
             next.change.removals.push_back(cluster::keys::cancel + id);
         }
--- a/tests/cluster/endpoint_speeds_test.cpp
+++ b/tests/cluster/endpoint_speeds_test.cpp
@@ -33,7 +33,8 @@
     std::lognormal_distribution<double> error(0.0, 0.5);
     for (int run = 0; run < runs; ++run) {
         for (int i = 0; i < endpoints; ++i) {
-            double ran = 1000.0 * error(random) / speed_of_number(i, slow, fast);
+            double ran =
+                1000.0 * error(random) / speed_of_number(i, slow, fast);
             speeds.add_run(name(i), "q", second,
                            base::milliseconds(static_cast<int>(ran)));
         }
@@ -127,9 +128,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(gang_is_not_spread_over_two_speeds_if_one_suffices) {
-    std::vector<cluster::fit_candidate> candidates{
-        candidate("fast", 9000, -1), candidate("a", 4000, 0),
-        candidate("b", 4000, 0)};
+    std::vector<cluster::fit_candidate> candidates{candidate("fast", 9000, -1),
+                                                   candidate("a", 4000, 0),
+                                                   candidate("b", 4000, 0)};
     base::resources need;
     need.cpu_milli = 1000;
     for (std::size_t chosen :
--- a/tests/cluster/job_service_test.cpp
+++ b/tests/cluster/job_service_test.cpp
@@ -195,4 +195,29 @@
     BOOST_TEST(!running.ran_since("j0", start));
 }
 
+// A client cancelled a job while its submission was still under way. The answer
+// was 410, the job was stored afterwards, and it ran.
+BOOST_AUTO_TEST_CASE(cancellation_of_an_unknown_job_meets_its_submission) {
+    std::optional<cluster::cancel_result> cancelled;
+    service->cancel("j1", base::monotonic_now() + base::milliseconds(3000),
+                    [&](cluster::cancel_result result) { cancelled = result; });
+    test::run_loop(loop, 10 * reply_time);
+    BOOST_REQUIRE(cancelled.has_value());
+    BOOST_TEST((*cancelled == cluster::cancel_result::unknown_job));
+    BOOST_TEST(
+        store.entries().contains(std::string(cluster::keys::cancel) + "j1"));
+}
+
+// The mark must be stored before the client is told that there is no job.
+BOOST_AUTO_TEST_CASE(cancellation_that_leaves_no_mark_is_not_acknowledged) {
+    store.next_replies = {{}, {}, {}};
+    store.default_reply = {coordination::status::refused, false};
+    std::optional<cluster::cancel_result> cancelled;
+    service->cancel("j1", base::monotonic_now() + base::milliseconds(300),
+                    [&](cluster::cancel_result result) { cancelled = result; });
+    test::run_loop(loop, base::milliseconds(600));
+    BOOST_REQUIRE(cancelled.has_value());
+    BOOST_TEST((*cancelled == cluster::cancel_result::unavailable));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/door/revocation_test.cpp
+++ b/tests/door/revocation_test.cpp
@@ -7,7 +7,6 @@
 #include <cstdlib>
 #include <filesystem>
 
-
 namespace {
 
 /// Within this time a withdrawn key must be refused everywhere.
