Queue: hopeless work of workspaces goes behind late work that is of use

Under overload that lasts, a tenth of the window is for overdue steps, oldest first: those whose ends are of no use to their callers any more, while newer ones became hopeless behind them. A step of a workspace's job is hopeless once it can't end within three times the objective; such steps come last and keep one place in each selection. Jobs without a workspace are served as before. Test: hopeless_steps_follow_those_that_are_still_of_use.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -141,6 +141,10 @@
     /// @return the latest start of the step with which its occurrence can still
     /// end within the queue's objective, by the estimated durations.
     [[nodiscard]] base::instant latest_start(int occurrence, int step) const;
+    /// @return the latest start with which its occurrence can still end within
+    /// three times that objective, until when a late end is of use.
+    [[nodiscard]] base::instant latest_useful_start(int occurrence,
+                                                    int step) const;
     /// @return nullptr if there is no such step.
     [[nodiscard]] step_execution* find_step(int occurrence, int step);
     /// @return nullptr if there is no such task.
--- a/include/eelgrasslever/cluster/step_queue.hpp
+++ b/include/eelgrasslever/cluster/step_queue.hpp
@@ -31,12 +31,15 @@
     std::string job;
     int occurrence{0};
     int step{0};
+    /// Latest start with which an end is still of use to the caller, though
+    /// late. Later the step is hopeless.
+    base::instant latest_useful_start{base::instant::max()};
     auto operator<=>(const step_rank&) const = default;
 };
 
 /// The order is: urgent steps, steps that can still meet their objective or
-/// that have begun (earliest preferred start first), overdue steps. Overdue
-/// steps keep a small share, so that none waits forever.
+/// that have begun (earliest preferred start first), overdue steps, hopeless
+/// steps. The latter two keep a small share, so that none waits forever.
 ///
 /// Steps that are not urgent are selected only as far as the window reaches: as
 /// much work as can be expected to find room soon. Each selected step may ask
@@ -85,9 +88,13 @@
         bool begun{false};
     };
     void resume_deferred(base::instant now);
+    /// Puts steps off that are of no use to their callers any more.
+    void separate_hopeless(base::instant now);
 
     group m_urgent;
     group m_waiting;
+    ranks m_hopeless;          ///< of those in `m_waiting` that were overdue
+    timed_ranks m_useful_ends; ///< of the overdue steps in `m_waiting`
     std::vector<step_rank> m_newly_overdue;
     ranks m_begun;
     std::map<step_rank, deferral> m_deferred;
--- a/src/cluster/job_execution.cpp
+++ b/src/cluster/job_execution.cpp
@@ -170,6 +170,13 @@
     return found->second.due_at + m_objective - chain - margin;
 }
 
+base::instant job_execution::latest_useful_start(int occurrence,
+                                                 int step) const {
+    // The platform counts an end as late up to this multiple.
+    constexpr int late_factor = 3;
+    return latest_start(occurrence, step) + (late_factor - 1) * m_objective;
+}
+
 step_execution* job_execution::find_step(int occurrence, int step) {
     auto found = m_occurrences.find(occurrence);
     if (found == m_occurrences.end() || step < 0 ||
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -269,6 +269,12 @@
         lead += gathering_time(dominant_share(spec.need, m_usable_total) *
                                spec.count);
     }
+    // Workspaces compete for room; their overdue work is put off for longer
+    // once a late end is of no use to its caller either.
+    base::instant useful =
+        execution.job().workspace.empty()
+            ? base::instant::max()
+            : execution.latest_useful_start(occurrence, step);
     // Surplus work doesn't use what is kept for urgent work.
     int priority = execution.job().queue.priority;
     return {job.is_surplus,
@@ -278,7 +284,8 @@
             execution.first_seen_at(),
             execution.job().id,
             occurrence,
-            step};
+            step,
+            useful};
 }
 
 void scheduler::enqueue(tracked_job& job, int occurrence, int step) {
--- a/src/cluster/step_queue.cpp
+++ b/src/cluster/step_queue.cpp
@@ -79,6 +79,8 @@
     m_urgent.erase(rank);
     m_begun.erase(rank);
     m_waiting.erase(rank);
+    m_hopeless.erase(rank);
+    m_useful_ends.erase({rank.latest_useful_start, rank});
     auto deferred = m_deferred.find(rank);
     if (deferred != m_deferred.end()) {
         m_resumptions.erase({deferred->second.until, rank});
@@ -118,7 +120,7 @@
 std::size_t step_queue::size() const {
     return m_urgent.in_time.size() + m_urgent.overdue.size() + m_begun.size() +
            m_waiting.in_time.size() + m_waiting.overdue.size() +
-           m_deferred.size();
+           m_hopeless.size() + m_deferred.size();
 }
 
 std::vector<step_rank> step_queue::select(base::instant now, double window,
@@ -126,8 +128,10 @@
     resume_deferred(now);
     m_urgent.advance(now);
     for (step_rank& rank : m_waiting.advance(now)) {
+        m_useful_ends.emplace(rank.latest_useful_start, rank);
         m_newly_overdue.push_back(std::move(rank));
     }
+    separate_hopeless(now);
     std::vector<step_rank> result;
     auto take = [&](auto from, auto to, std::size_t limit) {
         for (; from != to && limit > 0; ++from, --limit) {
@@ -159,24 +163,36 @@
             result.push_back(*next);
         }
     };
-    double kept = m_waiting.overdue.empty() ? 0.0 : overdue_window_share;
+    bool any_overdue = !m_waiting.overdue.empty() || !m_hopeless.empty();
+    double kept = any_overdue ? overdue_window_share : 0.0;
     take_until({m_begun.begin(), m_begun.end(), m_waiting.in_time.begin(),
                 m_waiting.in_time.end()},
                window * (1.0 - kept), min_window_steps);
     auto none = m_begun.end();
     take_until({m_waiting.overdue.begin(), m_waiting.overdue.end(), none, none},
                window, 1);
+    take_until({m_hopeless.begin(), m_hopeless.end(), none, none}, window, 1);
     return result;
 }
 
+void step_queue::separate_hopeless(base::instant now) {
+    while (!m_useful_ends.empty() && m_useful_ends.begin()->first <= now) {
+        step_rank rank =
+            m_useful_ends.extract(m_useful_ends.begin()).value().second;
+        m_waiting.overdue.erase(rank);
+        m_hopeless.insert(std::move(rank));
+    }
+}
+
 std::vector<step_rank> step_queue::take_newly_overdue() {
     return std::exchange(m_newly_overdue, {});
 }
 
 void step_queue::for_each(
     const std::function<void(const step_rank&)>& visit) const {
-    for (const ranks* steps : {&m_urgent.in_time, &m_urgent.overdue, &m_begun,
-                               &m_waiting.in_time, &m_waiting.overdue}) {
+    for (const ranks* steps :
+         {&m_urgent.in_time, &m_urgent.overdue, &m_begun, &m_waiting.in_time,
+          &m_waiting.overdue, &m_hopeless}) {
         std::for_each(steps->begin(), steps->end(), visit);
     }
     for (const auto& [rank, deferral] : m_deferred) {
--- a/tests/cluster/step_queue_test.cpp
+++ b/tests/cluster/step_queue_test.cpp
@@ -147,4 +147,35 @@
     BOOST_TEST(names(queue.select(now + 4 * second, 1.0, eighth)) == "b c ");
 }
 
+// Overload that lasts: the window's share of overdue work went to the oldest
+// steps, whose ends were of no use to their callers any more, and those that
+// could still have been of use became hopeless behind them.
+BOOST_AUTO_TEST_CASE(hopeless_steps_follow_those_that_are_still_of_use) {
+    step_queue queue;
+    step_rank hopeless = rank("hopeless", -9 * second);
+    hopeless.latest_useful_start = now - second;
+    step_rank late = rank("late", -2 * second);
+    late.latest_useful_start = now + second;
+    queue.insert(hopeless, false);
+    queue.insert(late, false);
+    queue.insert(rank("in-time", second), false);
+    BOOST_TEST(names(queue.select(now, 0.2, eighth)) ==
+               "in-time late hopeless ");
+    BOOST_TEST(queue.size() == 3u);
+    queue.erase(hopeless);
+    BOOST_TEST(names(queue.select(now + 2 * second, 0.2, eighth)) ==
+               "in-time late ");
+    queue.erase(late);
+    BOOST_TEST(queue.size() == 1u);
+}
+
+// A step without such a time, of a job without a workspace, is served as
+// before.
+BOOST_AUTO_TEST_CASE(overdue_steps_without_a_useful_end_keep_their_order) {
+    step_queue queue;
+    queue.insert(rank("older", -9 * second), false);
+    queue.insert(rank("newer", -2 * second), false);
+    BOOST_TEST(names(queue.select(now, 1.0, eighth)) == "older newer ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
