Configuration: a workspace without keys is readable

Empty fields may be omitted on the wire, so a workspace whose last key was withdrawn made the configuration unreadable, and the former one stayed in force. Test: decodes_a_workspace_without_keys.

--- a/tests/platform/message_codec_test.cpp
+++ b/tests/platform/message_codec_test.cpp
@@ -239,6 +239,16 @@
     BOOST_TEST(owner->cap.accelerators == 0);
 }
 
+// A workspace whose last key was withdrawn made the whole configuration
+// unreadable, and the key was served on.
+BOOST_AUTO_TEST_CASE(decodes_a_workspace_without_keys) {
+    auto table = platform::decode_configuration(make_entry(
+        "op/config", R"({"version":8,"routes":[],"tenants":[{"name":"t1"}]})"));
+    BOOST_REQUIRE(table.has_value());
+    BOOST_TEST(!table->workspaces()->empty());
+    BOOST_TEST(table->workspaces()->find_by_key("k1") == nullptr);
+}
+
 // A configuration without workspaces serves calls without a key, as before.
 BOOST_AUTO_TEST_CASE(configuration_without_workspaces_needs_no_key) {
     auto table = platform::decode_configuration(
