--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -238,7 +238,7 @@
         }
         job.payload += std::to_string(turn);
         if (m_with_workspaces) {
-            job.workspace = "w" + std::to_string(m_jobs % 2);
+            job.workspace = m_jobs % 4 == 0 ? "w1" : "w0";
         }
         m_fleet.submit(job);
     }
