--- a/include/eelgrasslever/coordination/prefix_watcher.hpp
+++ b/include/eelgrasslever/coordination/prefix_watcher.hpp
@@ -92,7 +92,11 @@
     void run_current_callbacks();
     void apply(const key_value& change);
     void schedule_next_call(base::milliseconds delay);
-    void on_call_failed(const char* step, status result);
+    void on_call_failed(const char* step, status result,
+                        const transfer_record& transfer);
+    /// Logs a call that failed, or whose reply is large or late.
+    void log_call(const char* step, status result,
+                  const transfer_record& transfer, std::size_t changes) const;
 
     kernel::loop& m_owner;
     store& m_store;
@@ -117,6 +121,8 @@
     bool m_loaded{false};
     bool m_reading{false};
     bool m_connected{false};
+    int m_failed_calls{0};             ///< since the latest success
+    base::milliseconds m_call_wait{0}; ///< for which the store holds the call
     base::instant m_call_sent_at{};
     base::instant m_current_as_of{};
     base::instant m_call_sent_uptime{};
--- a/include/eelgrasslever/coordination/store.hpp
+++ b/include/eelgrasslever/coordination/store.hpp
@@ -68,6 +68,13 @@
 
 [[nodiscard]] const char* to_string(status value);
 
+/// How the reply to a call was received, also if it is incomplete.
+struct transfer_record {
+    base::milliseconds duration{0};
+    base::milliseconds first_byte_after{0}; ///< 0 if nothing was received
+    std::uint64_t bytes{0};
+};
+
 struct read_reply {
     coordination::status status{status::unreachable};
     coordination::key_value entry;
@@ -78,6 +85,7 @@
     std::vector<key_value> entries;
     bool has_more{false};
     coordination::revision revision{absent}; ///< of the store as a whole
+    transfer_record transfer;
 };
 
 /// @note `changes` is empty if the watch timed out without a change.
@@ -86,6 +94,7 @@
     std::vector<key_value> changes;
     coordination::revision revision{absent}; ///< to continue the watch from
     bool is_partial{false}; ///< the store may already hold further changes
+    transfer_record transfer;
 };
 
 struct commit_reply {
--- a/include/eelgrasslever/http/message.hpp
+++ b/include/eelgrasslever/http/message.hpp
@@ -47,7 +47,10 @@
     std::string body;
     std::string failure; ///< transport error message if not reached
     std::uint64_t bytes_sent{0};
-    std::uint64_t bytes_received{0};
+    std::uint64_t bytes_received{0}; ///< of the headers and the body so far
+    base::milliseconds duration{0};
+    /// From the start of the call; 0 if nothing was received.
+    base::milliseconds first_byte_after{0};
 };
 
 } // namespace eelgrasslever::http
--- a/src/coordination/prefix_watcher.cpp
+++ b/src/coordination/prefix_watcher.cpp
@@ -11,6 +11,8 @@
 
 /// Not 0, which a store may take for its default.
 constexpr base::milliseconds min_watch_time{1};
+/// A call that takes this much longer than the store may hold it is logged.
+constexpr base::milliseconds slow_transfer{300};
 
 } // namespace
 
@@ -93,12 +95,36 @@
     }
 }
 
-void prefix_watcher::on_call_failed(const char* step, status result) {
+void prefix_watcher::log_call(const char* step, status result,
+                              const transfer_record& transfer,
+                              std::size_t changes) const {
+    observe::log_event(
+        "watch_call",
+        {{"prefix", m_prefix},
+         {"step", step},
+         {"outcome", to_string(result)},
+         {"failed_before", std::to_string(m_failed_calls)},
+         {"after", std::to_string(m_watch_after)},
+         {"wait_ms", std::to_string(m_call_wait.count())},
+         {"took_ms", std::to_string(transfer.duration.count())},
+         {"first_byte_ms", std::to_string(transfer.first_byte_after.count())},
+         {"bytes", std::to_string(transfer.bytes)},
+         {"changes", std::to_string(changes)},
+         {"view_age_ms",
+          std::to_string((base::monotonic_now() - m_current_as_of).count())}});
+}
+
+void prefix_watcher::on_call_failed(const char* step, status result,
+                                    const transfer_record& transfer) {
     if (m_connected) {
         observe::log_event(
             "watch_interrupted",
             {{"prefix", m_prefix}, {"step", step}, {"why", to_string(result)}});
     }
+    if (transfer.duration >= m_call_wait + slow_transfer) {
+        log_call(step, result, transfer, 0);
+    }
+    m_failed_calls++;
     m_connected = false;
     schedule_next_call(m_timing.retry_delay);
 }
@@ -121,6 +147,7 @@
 
 void prefix_watcher::load_page(const std::string& after) {
     m_in_flight = true;
+    m_call_wait = base::milliseconds(0);
     m_store.read_page(
         m_prefix, after,
         [self = shared_from_this(), after](const page_reply& reply) {
@@ -136,9 +163,13 @@
                              const page_reply& reply) {
     if (reply.status != status::ok) {
         m_failed_page = after;
-        on_call_failed("load", reply.status);
+        on_call_failed("load", reply.status, reply.transfer);
         return;
     }
+    if (reply.transfer.duration >= slow_transfer) {
+        log_call("load", reply.status, reply.transfer, reply.entries.size());
+    }
+    m_failed_calls = 0;
     // The pages are not a snapshot. The watch starts at the revision of the
     // first page, so that changes made during the load are not missed.
     if (m_load_revision == absent) {
@@ -202,7 +233,8 @@
     m_in_flight = true;
     m_call_sent_at = base::monotonic_now();
     m_call_sent_uptime = base::uptime_now();
-    m_store.watch(m_prefix, m_watch_after, watch_time(m_call_sent_at),
+    m_call_wait = watch_time(m_call_sent_at);
+    m_store.watch(m_prefix, m_watch_after, m_call_wait,
                   [self = shared_from_this()](const watch_reply& reply) {
                       self->m_in_flight = false;
                       if (self->m_running) {
@@ -220,13 +252,22 @@
         return;
     }
     if (reply.status != status::ok) {
-        on_call_failed("watch", reply.status);
+        on_call_failed("watch", reply.status, reply.transfer);
         return;
     }
+    if (reply.is_partial ||
+        reply.transfer.duration >= m_call_wait + slow_transfer) {
+        log_call("watch", reply.status, reply.transfer, reply.changes.size());
+    }
     if (!m_connected) {
-        observe::log_event("watch_resumed", {{"prefix", m_prefix}});
+        observe::log_event("watch_resumed",
+                           {{"prefix", m_prefix},
+                            {"failed_calls", std::to_string(m_failed_calls)},
+                            {"changes", std::to_string(reply.changes.size())},
+                            {"bytes", std::to_string(reply.transfer.bytes)}});
     }
     m_connected = true;
+    m_failed_calls = 0;
     if (!reply.is_partial) {
         m_current_as_of = m_call_sent_at;
         m_current_as_of_uptime = m_call_sent_uptime;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "eelgrasslever/http/client.hpp"
 
 #include <array>
+#include <chrono>
 #include <curl/curl.h>
 #include <functional>
 #include <map>
@@ -68,6 +69,11 @@
     return CURL_PREREQFUNC_OK;
 }
 
+base::milliseconds round_up(curl_off_t microseconds) {
+    return std::chrono::ceil<base::milliseconds>(
+        std::chrono::microseconds(microseconds));
+}
+
 void store_result(transfer& pending, CURLcode code) {
     pending.result.reached = code == CURLE_OK;
 
@@ -88,6 +94,13 @@
     // processed the first attempt, so the bytes sent must be zero as well.
     pending.result.nothing_sent =
         code == CURLE_COULDNT_CONNECT && request_bytes == 0;
+    curl_off_t first_byte_us = 0;
+    curl_off_t total_us = 0;
+    curl_easy_getinfo(pending.easy, CURLINFO_STARTTRANSFER_TIME_T,
+                      &first_byte_us);
+    curl_easy_getinfo(pending.easy, CURLINFO_TOTAL_TIME_T, &total_us);
+    pending.result.first_byte_after = round_up(first_byte_us);
+    pending.result.duration = round_up(total_us);
     pending.result.bytes_sent = static_cast<std::uint64_t>(request_bytes);
     pending.result.bytes_received = static_cast<std::uint64_t>(header_bytes) +
                                     static_cast<std::uint64_t>(body_in);
