--- a/tests/coordination/prefix_watcher_test.cpp
+++ b/tests/coordination/prefix_watcher_test.cpp
@@ -2,6 +2,7 @@
 
 #include "scripted_store.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 
@@ -47,6 +48,25 @@
     std::shared_ptr<coordination::prefix_watcher> watcher;
 };
 
+/// One key with a long value. The link carries a version of it in 10 ms, and
+/// five of them before a call fails.
+struct narrow_link_fixture : fixture {
+    narrow_link_fixture() {
+        store.link_bytes_per_ms = 500;
+        store.transfer_timeout = base::milliseconds(50);
+    }
+
+    void put_next_version() {
+        put("p/config", padding + std::to_string(++version));
+    }
+    [[nodiscard]] int seen_version() const {
+        return std::stoi(view.at("p/config").substr(padding.size()));
+    }
+
+    const std::string padding = std::string(5000, 'x');
+    int version{0};
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(prefix_watcher, fixture)
@@ -248,4 +268,43 @@
     watcher->stop();
 }
 
+// Guards against a view that stays old after an outage: the history since then
+// is longer than a call can transfer, so each call failed like the one before.
+BOOST_FIXTURE_TEST_CASE(a_history_too_long_for_a_call_does_not_keep_a_view_old,
+                        narrow_link_fixture) {
+    put_next_version();
+    watcher->start();
+    test::run_loop(loop, settle_time);
+    store.default_reply = {status::unreachable, false};
+    test::run_loop(loop, settle_time);
+    for (int i = 0; i < 100; ++i) {
+        put_next_version();
+    }
+    store.default_reply = {status::ok, true};
+    test::run_loop(loop, base::milliseconds(1000));
+    BOOST_TEST(seen_version() == version);
+    BOOST_TEST(watcher->connected());
+    watcher->stop();
+}
+
+// Guards against a view that falls ever further behind: a value changes faster
+// than its versions can be transferred, though the newest one alone could be.
+BOOST_FIXTURE_TEST_CASE(a_view_keeps_up_with_more_versions_than_a_link_carries,
+                        narrow_link_fixture) {
+    put_next_version();
+    watcher->start();
+    test::run_loop(loop, settle_time);
+    // Two versions in the time that the link needs for one.
+    kernel::timer changes(loop, [this] { put_next_version(); });
+    changes.start_every(base::milliseconds(5));
+    int most_behind = 0;
+    for (int i = 0; i < 20; ++i) {
+        test::run_loop(loop, base::milliseconds(50));
+        most_behind = std::max(most_behind, version - seen_version());
+    }
+    // The versions of four calls.
+    BOOST_TEST(most_behind <= 40);
+    watcher->stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/scripted_store.hpp
+++ b/tests/support/scripted_store.hpp
@@ -37,6 +37,11 @@
     /// From the start of each call to its reply. The call takes effect after
     /// half of it. If it is not 0, a watch without changes is held open.
     base::milliseconds reply_delay{0};
+    /// Bytes that the link to the store carries in a millisecond, for replies
+    /// to watches and page reads; 0: without limit.
+    std::size_t link_bytes_per_ms{0};
+    /// On a limited link, a reply that takes longer is lost.
+    base::milliseconds transfer_timeout{1000};
     /// Called at the start of each watch with the time that it may be held.
     std::function<void(base::milliseconds wait)> on_watch;
 
@@ -75,7 +80,7 @@
                 }
                 reply.entries.push_back(entry->second);
             }
-            deliver([done, reply] { done(reply); });
+            transfer(reply, value_bytes(reply.entries), done);
         });
     }
 
@@ -91,7 +96,7 @@
             bool is_held = reply_delay > base::milliseconds(0) &&
                            reply.status == status::ok && reply.changes.empty();
             if (!is_held) {
-                deliver([done, reply] { done(reply); });
+                transfer(reply, value_bytes(reply.changes), done);
                 return;
             }
             auto number = ++m_last_held_watch;
@@ -207,6 +212,36 @@
         }
         after_delay(reply_delay - reply_delay / 2, std::move(reply));
     }
+    static std::size_t
+    value_bytes(const std::vector<coordination::key_value>& entries) {
+        std::size_t total = 0;
+        for (const coordination::key_value& entry : entries) {
+            total += entry.key.size() + entry.value.size();
+        }
+        return total;
+    }
+    /// Delivers @p reply over the link.
+    template <typename Reply>
+    void transfer(Reply reply, std::size_t bytes,
+                  std::function<void(const Reply&)> done) {
+        reply.transfer.bytes = bytes;
+        if (link_bytes_per_ms == 0) {
+            deliver([done, reply] { done(reply); });
+            return;
+        }
+        base::milliseconds needed(bytes / link_bytes_per_ms);
+        auto duration = std::min(needed, transfer_timeout);
+        if (needed > transfer_timeout) {
+            reply = {};
+            reply.transfer.bytes =
+                link_bytes_per_ms *
+                static_cast<std::size_t>(transfer_timeout.count());
+        }
+        reply.transfer.duration = duration;
+        after_delay(duration, [this, done, reply] {
+            deliver([done, reply] { done(reply); });
+        });
+    }
     void after_delay(base::milliseconds delay, std::function<void()> action) {
         auto number = ++m_last_timer;
         m_timers[number] = std::make_unique<kernel::timer>(
@@ -252,7 +287,7 @@
         }
         held_watch& watch = held.mapped();
         auto reply = find_changes(watch.prefix, watch.after);
-        deliver([done = watch.done, reply] { done(reply); });
+        transfer(reply, value_bytes(reply.changes), watch.done);
     }
     void release_changed_watches(const coordination::transaction& change) {
         std::vector<std::uint64_t> released;
