Watches: read the prefix where that is less than its history

Cause: a watch that goes on from an old revision receives each version since then, whole. A reply of 1.4 MB takes 1.2 s on that link, the call has 1,001 ms. A view can also lag without failures, as each truncated reply takes as long as new changes need to fill the next one: the view of the jobs was 28 s old on a VM that received 500 changes in each of seven replies, though all jobs fit into one page (913 KB).

Change: after a failed call, a view of up to 64 KB is read again rather than its history. Otherwise the watcher adds up the bytes of replies that fail, are truncated or are slow, and reads the prefix once they exceed what the present values take, so that no catch-up costs more than about twice the cheaper way. A large view is not read for a short history.

--- a/include/eelgrasslever/coordination/prefix_watcher.hpp
+++ b/include/eelgrasslever/coordination/prefix_watcher.hpp
@@ -26,9 +26,10 @@
     base::milliseconds retry_delay{150};
 };
 
-/// Calls back for each change of the view. If the store has discarded changes
-/// that were not yet received, the prefix is read again, and keys that have
-/// disappeared meanwhile are reported as deleted.
+/// Calls back for each change of the view. The prefix is read again, and keys
+/// that have disappeared meanwhile are reported as deleted, if the store has
+/// discarded changes that were not yet received, or if the present values are
+/// smaller than the changes that led to them.
 class prefix_watcher : public std::enable_shared_from_this<prefix_watcher> {
   public:
     using change_handler = std::function<void(const key_value&)>;
@@ -89,6 +90,9 @@
     [[nodiscard]] base::milliseconds watch_time(base::instant now) const;
     void watch();
     void on_watch(const watch_reply& reply);
+    /// @return whether to read the prefix, as the changes that the view lags
+    /// behind have taken more bytes so far than all present values would.
+    [[nodiscard]] bool is_backlog_larger_than_view() const;
     void run_current_callbacks();
     void apply(const key_value& change);
     void schedule_next_call(base::milliseconds delay);
@@ -105,7 +109,14 @@
     change_handler m_on_change;
     batch_handler m_on_batch;
     kernel::timer m_timer;
-    std::map<std::string, revision> m_view; ///< latest revision of each key
+    struct known_key {
+        revision last_revision{absent};
+        std::size_t bytes{0}; ///< of the key and its value
+    };
+    std::map<std::string, known_key> m_view;
+    std::size_t m_view_bytes{0}; ///< of all keys and their values
+    /// Received by watches since the view was last up to date.
+    std::size_t m_backlog_bytes{0};
     std::map<std::string, revision> m_keys_read; ///< by the current read
     std::vector<std::function<void()>> m_refresh_callbacks; ///< of later reads
     std::vector<std::function<void()>> m_load_callbacks;    ///< of this read
--- a/src/coordination/prefix_watcher.cpp
+++ b/src/coordination/prefix_watcher.cpp
@@ -12,7 +12,13 @@
 /// Not 0, which a store may take for its default.
 constexpr base::milliseconds min_watch_time{1};
 /// A call that takes this much longer than the store may hold it is logged.
+/// A reply that takes this long from its first byte on shows that the view
+/// lags behind.
 constexpr base::milliseconds slow_transfer{300};
+/// A prefix with no more than this is read again after a call that failed. On
+/// the narrowest links (10 Mbit/s) that takes at most 70 ms, while the changes
+/// since the last call may take longer than any call.
+constexpr std::size_t small_view_bytes = 64 * 1024;
 
 } // namespace
 
@@ -111,7 +117,9 @@
          {"bytes", std::to_string(transfer.bytes)},
          {"changes", std::to_string(changes)},
          {"view_age_ms",
-          std::to_string((base::monotonic_now() - m_current_as_of).count())}});
+          m_loaded ? std::to_string(
+                         (base::monotonic_now() - m_current_as_of).count())
+                   : ""}});
 }
 
 void prefix_watcher::on_call_failed(const char* step, status result,
@@ -134,6 +142,7 @@
     m_load_needed = false;
     m_reading = true;
     m_failed_page.reset();
+    m_backlog_bytes = 0;
     m_keys_read.clear();
     // Those who wait for a load that this one replaces wait for this one.
     for (auto& callback : std::exchange(m_refresh_callbacks, {})) {
@@ -188,7 +197,7 @@
 
 void prefix_watcher::finish_load() {
     std::vector<std::string> vanished;
-    for (const auto& [key, last_revision] : m_view) {
+    for (const auto& [key, known] : m_view) {
         if (!m_keys_read.contains(key)) {
             vanished.push_back(key);
         }
@@ -252,6 +261,9 @@
         return;
     }
     if (reply.status != status::ok) {
+        m_backlog_bytes += reply.transfer.bytes;
+        m_load_needed |=
+            m_view_bytes <= small_view_bytes || is_backlog_larger_than_view();
         on_call_failed("watch", reply.status, reply.transfer);
         return;
     }
@@ -268,6 +280,11 @@
     }
     m_connected = true;
     m_failed_calls = 0;
+    bool is_behind =
+        reply.is_partial ||
+        reply.transfer.duration - reply.transfer.first_byte_after >=
+            slow_transfer;
+    m_backlog_bytes = is_behind ? m_backlog_bytes + reply.transfer.bytes : 0;
     if (!reply.is_partial) {
         m_current_as_of = m_call_sent_at;
         m_current_as_of_uptime = m_call_sent_uptime;
@@ -280,7 +297,7 @@
         m_on_batch();
     }
     run_current_callbacks();
-    if (m_load_needed) {
+    if (m_load_needed || is_backlog_larger_than_view()) {
         load();
         return;
     }
@@ -292,19 +309,31 @@
                                     : base::milliseconds(0));
 }
 
+bool prefix_watcher::is_backlog_larger_than_view() const {
+    constexpr std::size_t entry_overhead = 100; // field names and revisions
+    std::size_t encoded_view =
+        m_view_bytes * 4 / 3 + m_view.size() * entry_overhead;
+    return m_backlog_bytes > encoded_view;
+}
+
 void prefix_watcher::apply(const key_value& change) {
     auto found = m_view.find(change.key);
-    if (found != m_view.end() && found->second >= change.revision &&
-        !(change.deleted && found->second == change.revision)) {
+    if (found != m_view.end() &&
+        found->second.last_revision >= change.revision &&
+        !(change.deleted && found->second.last_revision == change.revision)) {
         return;
     }
     if (change.deleted) {
         if (found == m_view.end()) {
             return;
         }
+        m_view_bytes -= found->second.bytes;
         m_view.erase(found);
     } else {
-        m_view[change.key] = change.revision;
+        known_key& known = m_view[change.key];
+        std::size_t bytes = change.key.size() + change.value.size();
+        m_view_bytes += bytes - known.bytes;
+        known = {change.revision, bytes};
     }
     m_on_change(change);
 }
--- a/tests/coordination/prefix_watcher_test.cpp
+++ b/tests/coordination/prefix_watcher_test.cpp
@@ -63,7 +63,7 @@
         return std::stoi(view.at("p/config").substr(padding.size()));
     }
 
-    const std::string padding = std::string(5000, 'x');
+    std::string padding = std::string(5000, 'x');
     int version{0};
 };
 
@@ -287,6 +287,81 @@
     watcher->stop();
 }
 
+// Guards against the same with a value so long that it isn't read after each
+// failed call.
+BOOST_FIXTURE_TEST_CASE(a_long_value_is_read_in_place_of_a_longer_history,
+                        narrow_link_fixture) {
+    constexpr std::size_t scale = 16;
+    padding.resize(scale * padding.size(), 'x');
+    store.link_bytes_per_ms *= scale;
+    put_next_version();
+    watcher->start();
+    test::run_loop(loop, settle_time);
+    store.default_reply = {status::unreachable, false};
+    test::run_loop(loop, settle_time);
+    for (int i = 0; i < 100; ++i) {
+        put_next_version();
+    }
+    store.default_reply = {status::ok, true};
+    test::run_loop(loop, base::milliseconds(1000));
+    BOOST_TEST(seen_version() == version);
+    watcher->stop();
+}
+
+// Guards against a store that serves all of a large view to each VM after an
+// outage, in place of the few changes since.
+BOOST_AUTO_TEST_CASE(a_large_view_is_not_read_again_after_an_outage) {
+    const std::string value(40'000, 'x');
+    put("p/1", value);
+    put("p/2", value);
+    watcher->start();
+    test::run_loop(loop, settle_time);
+    int pages_before = store.page_read_count;
+    store.default_reply = {status::unreachable, false};
+    test::run_loop(loop, settle_time);
+    put("p/1", "v");
+    store.default_reply = {status::ok, true};
+    test::run_loop(loop, settle_time);
+    BOOST_TEST(view.at("p/1") == "v");
+    BOOST_TEST(store.page_read_count == pages_before);
+    watcher->stop();
+}
+
+// Guards against a view that stays behind for as long as it takes to receive
+// many truncated replies, though all present values fit into a few pages.
+BOOST_FIXTURE_TEST_CASE(a_long_history_is_read_up_to_the_size_of_the_view,
+                        narrow_link_fixture) {
+    constexpr int keys = 10;
+    const std::string value(8000, 'x');
+    auto put_all = [&] {
+        for (int i = 0; i < keys; ++i) {
+            put("p/" + std::to_string(i), value + std::to_string(version));
+        }
+        version++;
+    };
+    put_all();
+    store.max_changes_per_watch = keys;
+    store.link_bytes_per_ms = value.size();
+    watcher->start();
+    test::run_loop(loop, settle_time);
+    store.default_reply = {status::unreachable, false};
+    test::run_loop(loop, settle_time);
+    for (int i = 0; i < 100; ++i) {
+        put_all();
+    }
+    const std::string newest = value + std::to_string(version - 1);
+    int watches = 0;
+    store.on_watch = [&](base::milliseconds) {
+        watches += view.at("p/9") == newest ? 0 : 1;
+    };
+    store.default_reply = {status::ok, true};
+    test::run_loop(loop, base::milliseconds(1000));
+    BOOST_TEST((view.at("p/9") == newest));
+    // Two replies are larger than the view.
+    BOOST_TEST(watches <= 2);
+    watcher->stop();
+}
+
 // Guards against a view that falls ever further behind: a value changes faster
 // than its versions can be transferred, though the newest one alone could be.
 BOOST_FIXTURE_TEST_CASE(a_view_keeps_up_with_more_versions_than_a_link_carries,
