Client: a reply that keeps arriving is not given up at the timeout

Five calls in a row are given up after 1,000 to 1,009 ms with 459 to 623 KB received, as its watch of the configuration shares the link. Each starts again from nothing, so that neither ends while the other goes on. Likewise the watch of the jobs on three other VMs.

A call without a reply fails after 1 s as before.

--- a/include/eelgrasslever/http/client.hpp
+++ b/include/eelgrasslever/http/client.hpp
@@ -16,6 +16,10 @@
   public:
     using callback = std::function<void(const reply&)>;
 
+    /// A reply of which nothing arrives for this long is not waited for beyond
+    /// the timeout of its call.
+    static constexpr base::milliseconds max_transfer_pause{500};
+
     /// @param activity static name under which the loop accounts the
     /// transfers; the work of the callbacks is accounted separately.
     explicit client(kernel::loop& event_loop,
--- a/include/eelgrasslever/http/message.hpp
+++ b/include/eelgrasslever/http/message.hpp
@@ -30,7 +30,11 @@
     std::string body;
     std::vector<header> headers;
     base::milliseconds timeout{1000}; ///< for the entire call
-    bool fresh_connection{false};     ///< do not reuse an idle connection
+    /// A call whose reply is being received is not given up at `timeout` but
+    /// after this time, or when nothing arrives for
+    /// `client::max_transfer_pause`. Not used if it is below `timeout`.
+    base::milliseconds transfer_timeout{0};
+    bool fresh_connection{false}; ///< do not reuse an idle connection
 };
 
 /// The result of a `call`.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "eelgrasslever/http/client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <curl/curl.h>
@@ -30,6 +31,9 @@
     CURL* easy{nullptr};
     CURLM* multi{nullptr}; ///< of the connection cache
     std::unique_ptr<kernel::timer> deadline;
+    base::instant sent_at{};
+    base::instant received_at{}; ///< the latest part of the reply's body
+    base::milliseconds transfer_timeout{0};
     curl_slist* headers{nullptr};
     std::string body;
     reply result;
@@ -53,7 +57,9 @@
 
 std::size_t append_body(char* data, std::size_t size, std::size_t count,
                         void* target) {
-    static_cast<std::string*>(target)->append(data, size * count);
+    auto& pending = *static_cast<transfer*>(target);
+    pending.result.body.append(data, size * count);
+    pending.received_at = base::monotonic_now();
     return size * count;
 }
 
@@ -113,7 +119,7 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &pending.result.body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &pending);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &note_request);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &pending);
     if (request.fresh_connection) {
@@ -298,6 +304,13 @@
         pending->on_reply(pending->result);
     }
 
+    /// @return for how much longer to wait for the rest of a reply.
+    static base::milliseconds time_left(const transfer& pending) {
+        auto now = base::monotonic_now();
+        return std::min(pending.sent_at + pending.transfer_timeout - now,
+                        pending.received_at + client::max_transfer_pause - now);
+    }
+
     // After a pause of the process, the reply may have arrived before the
     // deadline. The event loop reads it before the second expiry.
     void start_deadline(transfer& pending, base::milliseconds timeout) {
@@ -309,6 +322,12 @@
                     timer->start_once(base::milliseconds(1));
                     return;
                 }
+                auto left = time_left(*transfers.at(easy));
+                if (left > base::milliseconds(0)) {
+                    expired = false;
+                    timer->start_once(left);
+                    return;
+                }
                 // This callback belongs to the timer.
                 event_loop.defer([kept = std::shared_ptr<kernel::timer>(
                                       std::move(timer))] {});
@@ -346,6 +365,8 @@
     kernel::activity measured(m_native->event_loop, m_native->activity);
     auto pending = std::make_unique<transfer>();
     pending->on_reply = std::move(on_reply);
+    pending->sent_at = base::monotonic_now();
+    pending->transfer_timeout = request.transfer_timeout;
     pending->easy = m_native->acquire_handle();
     configure_handle(*pending, request);
     CURL* easy = pending->easy;
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -59,6 +59,70 @@
     std::thread m_thread;
 };
 
+/// Sends a response piece by piece to one request, then closes the connection.
+class slow_server {
+  public:
+    static constexpr base::milliseconds piece_interval{20};
+
+    /// @param announced_pieces as the response says.
+    /// @param sent_pieces of these, after which the response stays incomplete.
+    slow_server(int announced_pieces, int sent_pieces)
+        : m_announced_pieces(announced_pieces), m_sent_pieces(sent_pieces),
+          m_listener(socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(m_listener, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        listen(m_listener, 1);
+        socklen_t size = sizeof at;
+        getsockname(m_listener, reinterpret_cast<sockaddr*>(&at), &size);
+        m_port = ntohs(at.sin_port);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~slow_server() {
+        m_thread.join();
+        close(m_listener);
+    }
+    slow_server(const slow_server&) = delete;
+    slow_server& operator=(const slow_server&) = delete;
+
+    /// @return the reply to a call with @p timeout and @p transfer_timeout.
+    [[nodiscard]] http::reply call(base::milliseconds timeout,
+                                   base::milliseconds transfer_timeout) const {
+        http::call request;
+        request.url = "http://127.0.0.1:" + std::to_string(m_port) + "/";
+        request.timeout = timeout;
+        request.transfer_timeout = transfer_timeout;
+        return http::send_blocking(request);
+    }
+
+  private:
+    void serve() const {
+        int connection = accept(m_listener, nullptr, nullptr);
+        std::array<char, 4096> buffer{};
+        recv(connection, buffer.data(), buffer.size(), 0);
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                 std::to_string(m_announced_pieces) +
+                                 "\r\n\r\n";
+        send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+        for (int i = 0; i < m_sent_pieces; ++i) {
+            std::this_thread::sleep_for(piece_interval);
+            if (send(connection, "x", 1, MSG_NOSIGNAL) < 0) {
+                break;
+            }
+        }
+        // Until the client closes the connection.
+        recv(connection, buffer.data(), buffer.size(), 0);
+        close(connection);
+    }
+
+    int m_announced_pieces;
+    int m_sent_pieces;
+    int m_listener;
+    unsigned m_port{0};
+    std::thread m_thread;
+};
+
 /// Listens on all loopback addresses, so that one port stands for many servers,
 /// and answers each request. It can hold its answers back.
 class many_servers {
@@ -325,4 +389,35 @@
     BOOST_TEST(received->failure == "the URL names no server");
 }
 
+// Guards against a large reply over a narrow link that is given up half
+// received, asked for again and given up again.
+BOOST_AUTO_TEST_CASE(a_reply_that_keeps_arriving_outlasts_the_timeout) {
+    constexpr int pieces = 20;
+    slow_server server(pieces, pieces);
+    http::reply reply =
+        server.call(5 * slow_server::piece_interval, base::milliseconds(5000));
+    BOOST_TEST(reply.reached);
+    BOOST_TEST(reply.body.size() == std::size_t{pieces});
+    BOOST_TEST((reply.duration >= pieces * slow_server::piece_interval));
+    BOOST_TEST((reply.first_byte_after < reply.duration));
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_that_stops_arriving_is_given_up) {
+    slow_server server(20, 10);
+    http::reply reply = server.call(5 * slow_server::piece_interval,
+                                    base::milliseconds(30'000));
+    BOOST_TEST(!reply.reached);
+    BOOST_TEST((reply.duration < base::milliseconds(10'000)));
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_that_keeps_arriving_is_given_up_in_the_end) {
+    slow_server server(500, 500);
+    constexpr base::milliseconds transfer_timeout{200};
+    http::reply reply =
+        server.call(5 * slow_server::piece_interval, transfer_timeout);
+    BOOST_TEST(!reply.reached);
+    BOOST_TEST((reply.duration >= transfer_timeout));
+    BOOST_TEST((reply.duration < base::milliseconds(5000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
