Clients: an old configuration does not say that a queue is unknown

Seen: 404 for routes that exist, from a VM whose configuration was 15 to 21 s old. 404 is final for a client. A call with a key was answered 503 by the same VM, as it can't check keys with a configuration that old.

Cause: an unknown route was answered 404 whatever the age of the configuration.

Test: keys_at_the_door/old_configuration_denies_no_queue, with the system's own process. Without the bound in force it fails (404 in place of 503).

--- a/include/eelgrasslever/workspace/directory.hpp
+++ b/include/eelgrasslever/workspace/directory.hpp
@@ -66,13 +66,13 @@
 [[nodiscard]] std::optional<std::string_view>
 bearer_key(std::string_view header);
 
-/// How long a configuration may decide about keys after it was last known to
-/// be the newest one.
-class key_validity {
+/// How long a configuration may decide about keys or routes after it was last
+/// known to be the newest one.
+class configuration_validity {
   public:
-    /// @param bound time within which a withdrawn key must be refused by every
-    /// VM; unset: a configuration is valid until the next one arrives.
-    explicit key_validity(std::optional<base::milliseconds> bound)
+    /// @param bound time within which a change must be in force on every VM;
+    /// unset: a configuration is valid until the next one arrives.
+    explicit configuration_validity(std::optional<base::milliseconds> bound)
         : m_bound(bound) {}
 
     /// @param proven_at when the read was sent that showed the configuration
--- a/review/stand_ins/cell.cpp
+++ b/review/stand_ins/cell.cpp
@@ -246,7 +246,7 @@
 }
 
 std::optional<http_response>
-cell::call(std::size_t node, const std::string& method, const std::string& job,
+cell::call(std::size_t node, const std::string& method, const std::string& path,
            const std::string& body, milliseconds timeout) {
     std::map<std::string, std::string> headers{
         {"Host", host},
@@ -255,8 +255,8 @@
     if (!m_key.empty()) {
         headers["Authorization"] = "Bearer " + m_key;
     }
-    return send_request(m_nodes[node].front(), method, prefix + job, headers,
-                        body, timeout);
+    return send_request(m_nodes[node].front(), method, path, headers, body,
+                        timeout);
 }
 
 std::optional<http_response> cell::submit(std::size_t node,
@@ -264,7 +264,7 @@
                                           const json& body,
                                           milliseconds timeout) {
     m_record.write("client: POST " + job + " to " + m_nodes[node].name);
-    auto reply = call(node, "POST", job, body.dump(), timeout);
+    auto reply = call(node, "POST", prefix + job, body.dump(), timeout);
     m_record.write("client: POST " + job + " answered " +
                    (reply ? std::to_string(reply->status) : "not"));
     return reply;
@@ -273,14 +273,22 @@
 std::optional<http_response>
 cell::cancel(std::size_t node, const std::string& job, milliseconds timeout) {
     m_record.write("client: DELETE " + job + " to " + m_nodes[node].name);
-    auto reply = call(node, "DELETE", job, "", timeout);
+    auto reply = call(node, "DELETE", prefix + job, "", timeout);
     m_record.write("client: DELETE " + job + " answered " +
                    (reply ? std::to_string(reply->status) : "not"));
     return reply;
 }
 
+std::optional<http_response> cell::ask_unknown_queue(std::size_t node,
+                                                     milliseconds timeout) {
+    auto reply = call(node, "GET", "/unknown/", "", timeout);
+    m_record.write("client: GET of an unknown queue answered " +
+                   (reply ? std::to_string(reply->status) : "not"));
+    return reply;
+}
+
 std::string cell::state(std::size_t node, const std::string& job) {
-    auto reply = call(node, "GET", job, "", milliseconds(3000));
+    auto reply = call(node, "GET", prefix + job, "", milliseconds(3000));
     std::string result = "no answer";
     if (reply && reply->status == 200) {
         result = json::parse(reply->body).value("state", "none");
--- a/review/stand_ins/cell.hpp
+++ b/review/stand_ins/cell.hpp
@@ -76,6 +76,10 @@
     std::optional<http_response>
     cancel(std::size_t node, const std::string& job,
            milliseconds timeout = milliseconds(3000));
+    /// Asks for a job of a queue that no configuration has.
+    std::optional<http_response>
+    ask_unknown_queue(std::size_t node,
+                      milliseconds timeout = milliseconds(3000));
     /// @return the state, the status of another answer, or "no answer".
     std::string state(std::size_t node, const std::string& job);
     /// Asks until the state is one of @p wanted.
@@ -102,7 +106,7 @@
         }
     };
     std::optional<http_response>
-    call(std::size_t node, const std::string& method, const std::string& job,
+    call(std::size_t node, const std::string& method, const std::string& path,
          const std::string& body, milliseconds timeout);
     void write_settings(const node_process& node);
 
--- a/src/workspace/directory.cpp
+++ b/src/workspace/directory.cpp
@@ -74,7 +74,8 @@
     return header.substr(scheme.size());
 }
 
-bool key_validity::is_valid(base::instant proven_at, base::instant now) const {
+bool configuration_validity::is_valid(base::instant proven_at,
+                                      base::instant now) const {
     return !m_bound ||
            now - proven_at < *m_bound * (100 - validity_margin_percent) / 100;
 }
--- a/tests/door/revocation_test.cpp
+++ b/tests/door/revocation_test.cpp
@@ -11,6 +11,8 @@
 
 /// Within this time a withdrawn key must be refused everywhere.
 constexpr review::milliseconds revocation_bound{3000};
+/// Within this time a change must be in force everywhere.
+constexpr review::milliseconds configuration_bound{2500};
 constexpr review::milliseconds answer_limit{10'000};
 const std::string job = "00000000000000f1";
 
@@ -25,7 +27,10 @@
         review::cell_options options;
         options.program = EEL_PLATFORM_PROGRAM;
         options.more_settings = "bounds.strictRevoke=true\nbounds.revokeMs=" +
-                                std::to_string(revocation_bound.count()) + "\n";
+                                std::to_string(revocation_bound.count()) +
+                                "\nbounds.configApplyMs=" +
+                                std::to_string(configuration_bound.count()) +
+                                "\n";
         options.configuration = make_tenants({"key-1", "key-2"});
         cell = std::make_unique<review::cell>(folder, record, options);
         cell->configure(nlohmann::json::object());
@@ -66,6 +71,17 @@
         }
         return false;
     }
+    /// Asks until the answer has the status.
+    bool is_unknown_queue_answered_with(int status) {
+        for (int tries = 0; tries < 100; ++tries) {
+            auto reply = cell->ask_unknown_queue(0, answer_limit);
+            if (reply && reply->status == status) {
+                return true;
+            }
+            std::this_thread::sleep_for(review::milliseconds(100));
+        }
+        return false;
+    }
 
     std::string folder{make_folder()};
     review::record_file record{folder + "/record.txt"};
@@ -117,4 +133,17 @@
     BOOST_TEST(is_answered_with("key-2", 200));
 }
 
+// A VM that the store did not answer said that a queue does not exist, though
+// a newer configuration may have added it.
+BOOST_AUTO_TEST_CASE(old_configuration_denies_no_queue) {
+    BOOST_TEST(is_unknown_queue_answered_with(404));
+    cell->platform().set_down(true);
+    std::this_thread::sleep_for(configuration_bound);
+    auto reply = cell->ask_unknown_queue(0, answer_limit);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status == 503);
+    cell->platform().set_down(false);
+    BOOST_TEST(is_unknown_queue_answered_with(404));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -13,6 +13,7 @@
                                    "platform.address=10.2.0.2:80\n"
                                    "limits.cpuShare=0.25\n"
                                    "bounds.maxHoldMs=6000\nbounds.graceS=6\n"
+                                   "bounds.configApplyMs=2000\n"
                                    "something.new=1\n# a comment\n";
 
 } // namespace
@@ -26,6 +27,9 @@
     BOOST_TEST(settings->peer_address == "10.1.0.13:7720");
     BOOST_TEST(settings->max_lease.count() == 6000);
     BOOST_TEST(settings->stop_grace.count() == 6000);
+    BOOST_REQUIRE(settings->configuration_bound.has_value());
+    BOOST_TEST(settings->configuration_bound->count() == 2000);
+    BOOST_TEST(!settings->revocation_bound.has_value());
     BOOST_TEST(settings->cores == 0.25);
 }
 
--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -7,7 +7,7 @@
 
 using namespace eelgrasslever;
 using workspace::directory;
-using workspace::key_validity;
+using workspace::configuration_validity;
 
 namespace {
 
@@ -69,18 +69,18 @@
 // A VM that could not read the configuration any more, or that stood still,
 // went on serving a key that had been withdrawn.
 BOOST_AUTO_TEST_CASE(old_configuration_decides_about_no_key) {
-    key_validity validity(5 * second);
+    configuration_validity validity(5 * second);
     BOOST_TEST(validity.is_valid(start, start));
     BOOST_TEST(validity.is_valid(start, start + 4 * second));
     // Clocks may differ by 2% in rate.
     BOOST_TEST(!validity.is_valid(start, start + 4900 * second / 1000));
     BOOST_TEST(!validity.is_valid(start, start + 60 * second));
-    BOOST_TEST(key_validity(std::nullopt).is_valid(start, start + 60 * second));
+    BOOST_TEST(configuration_validity(std::nullopt).is_valid(start, start + 60 * second));
 }
 
 // Nothing was ever read: the configuration is as old as the clock.
 BOOST_AUTO_TEST_CASE(unproven_configuration_decides_about_no_key) {
-    BOOST_TEST(!key_validity(5 * second).is_valid(base::instant{}, start));
+    BOOST_TEST(!configuration_validity(5 * second).is_valid(base::instant{}, start));
 }
 
 BOOST_AUTO_TEST_CASE(limit_admits_what_fits_beside_running_work) {
