Leader: an old view of the jobs starts nothing, and is handed over

The leader's link is narrow from 3.68 to 12.58 s, its watch of the jobs fails three times with 147 to 573 KB received, and its view gets 9 s old. Nothing asks how old the view is on which a start is decided, and its orders leave through carriers with sound links.

Change: a leader whose view of the jobs is over 2 s old starts nothing; over 3 s while it reaches the store, and if another VM has loaded the jobs, it hands over. A reply may pause for 1 s in place of 500 ms before it is given up, as packets on a full link wait that long.

--- a/include/eelgrasslever/http/client.hpp
+++ b/include/eelgrasslever/http/client.hpp
@@ -17,8 +17,9 @@
     using callback = std::function<void(const reply&)>;
 
     /// A reply of which nothing arrives for this long is not waited for beyond
-    /// the timeout of its call.
-    static constexpr base::milliseconds max_transfer_pause{500};
+    /// the timeout of its call. Where a link is full, packets wait for more
+    /// than half a second.
+    static constexpr base::milliseconds max_transfer_pause{1000};
 
     /// @param activity static name under which the loop accounts the
     /// transfers; the work of the callbacks is accounted separately.
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -193,6 +193,8 @@
                                const wire::advice_request& request);
     /// @return whether the lease was confirmed recently enough to send orders.
     [[nodiscard]] bool has_order_authority() const;
+    /// Decides whether the leader may start tasks, and logs when that changes.
+    [[nodiscard]] bool evaluate_placement(base::instant now);
     void tick();
     void schedule_tick();
     /// Logs what the leader did since the previous call: where its time went,
@@ -281,6 +283,7 @@
     base::instant m_last_tick_at{};
     double m_cpu_seconds_logged{0.0}; ///< of the process, at the last summary
     bool m_tick_scheduled{false};
+    bool m_is_placement_paused{false}; ///< as the view of the jobs is too old
     bool m_is_draining{false};
 
     /// Leases of this VM's latest term, and when that term ended.
--- a/include/eelgrasslever/service/member_table.hpp
+++ b/include/eelgrasslever/service/member_table.hpp
@@ -88,6 +88,8 @@
     /// @return whether a VM with more cores than this one is listed, or was
     /// listed within the last `departed_retention`.
     [[nodiscard]] bool is_outranked(base::instant now) const;
+    /// @return whether another VM has loaded the jobs, so that it can lead.
+    [[nodiscard]] bool has_loaded_peer() const;
     /// @return whether a VM with at least `min_core_ratio` times the cores of
     /// this one has loaded the jobs and has been listed for `min_listed_time`,
     /// and the last handover is at least `handover_interval` ago.
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -27,6 +27,10 @@
 /// to other VMs. The limit exceeds two watches of the members (1 s each) and a
 /// call to a slow store (0.3 s).
 constexpr base::milliseconds max_view_age{2500};
+/// A leader with an older view of the jobs starts no task. No task of a job may
+/// be started 3 s after its cancellation, and an order takes up to 1 s to
+/// arrive.
+constexpr base::milliseconds max_placement_view_age{2000};
 /// A VM that has not reached the store for this long is not ready. The limit is
 /// longer than the slowest known reply of the store.
 constexpr base::milliseconds max_store_outage{400};
@@ -396,6 +400,19 @@
            m_options.limits.authority_timeout;
 }
 
+bool cluster_service::evaluate_placement(base::instant now) {
+    base::milliseconds view_age = now - m_cluster_watcher->current_as_of();
+    bool is_view_old = view_age > max_placement_view_age;
+    if (std::exchange(m_is_placement_paused, is_view_old) != is_view_old) {
+        observe::log_event(is_view_old ? "placement_paused"
+                                       : "placement_resumed",
+                           {{"view_age_ms", std::to_string(view_age.count())}});
+    }
+    // The limits of workspaces aren't known before the configuration is.
+    return !is_view_old && m_store.reachable(now) &&
+           m_configuration_watcher->loaded();
+}
+
 void cluster_service::tick() {
     m_tick_scheduled = false;
     if (!m_scheduler) {
@@ -404,11 +421,9 @@
     kernel::activity measured(m_owner, activities::placement);
     m_last_tick_at = base::monotonic_now();
     remove_lapsed_endpoints(m_last_tick_at);
-    // The limits of workspaces aren't known before the configuration is.
-    bool may_place =
-        m_store.reachable(m_last_tick_at) && m_configuration_watcher->loaded();
-    m_scheduler->tick(m_last_tick_at, base::wall_now(),
-                      {has_order_authority(), may_place});
+    m_scheduler->tick(
+        m_last_tick_at, base::wall_now(),
+        {has_order_authority(), evaluate_placement(m_last_tick_at)});
     if (!m_tick_scheduled) {
         m_tick_timer.start_once(max_tick_interval);
     }
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// A leader that reaches the store but whose view of the jobs is older than
+/// this hands over, as behind a narrow link: it starts nothing meanwhile.
+constexpr base::milliseconds max_leader_view_age{3000};
+
 /// How long a former leader reports its leases. By then all of them have
 /// expired: one lease, and the time for which an earlier leader may have gone
 /// on.
@@ -190,6 +194,14 @@
         std::string successor = m_members.preferred_successor(now);
         m_members.record_handover(now);
         m_election->hand_over(successor);
+        return;
+    }
+    base::milliseconds view_age = now - m_cluster_watcher->current_as_of();
+    if (m_scheduler && view_age > max_leader_view_age &&
+        m_store.reachable(now) && m_members.has_loaded_peer()) {
+        observe::log_event("leader_outdated",
+                           {{"view_age_ms", std::to_string(view_age.count())}});
+        m_election->hand_over("");
     }
 }
 
--- a/src/service/member_table.cpp
+++ b/src/service/member_table.cpp
@@ -35,6 +35,12 @@
                        });
 }
 
+bool member_table::has_loaded_peer() const {
+    return std::any_of(m_live.begin(), m_live.end(), [&](const auto& row) {
+        return row.first != m_self && row.second.entry.loaded;
+    });
+}
+
 bool member_table::should_hand_over(base::instant now) const {
     if (now < m_next_handover) {
         return false;
--- a/tests/support/cell_fixture.hpp
+++ b/tests/support/cell_fixture.hpp
@@ -33,6 +33,7 @@
     int watches_to_lose{0};          ///< watches that get `history_lost`
     std::size_t entries_received{0}; ///< in pages and watches
     std::size_t calls{0};
+    std::string unanswered_prefix; ///< whose watches get no reply meanwhile
 
     void
     read(const std::string& key,
@@ -106,6 +107,12 @@
     poll(const std::string& prefix, coordination::revision after,
          base::instant until,
          const std::function<void(const coordination::watch_reply&)>& done) {
+        if (prefix == unanswered_prefix) {
+            call_later(poll_period, [this, prefix, after, until, done] {
+                poll(prefix, after, until, done);
+            });
+            return;
+        }
         if (watches_to_lose > 0) {
             watches_to_lose--;
             m_owner.defer([done] {
