--- a/tests/door/revocation_test.cpp
+++ b/tests/door/revocation_test.cpp
@@ -11,8 +11,9 @@
 
 /// Within this time a withdrawn key must be refused everywhere.
 constexpr review::milliseconds revocation_bound{3000};
-/// Within this time a change must be in force everywhere.
-constexpr review::milliseconds configuration_bound{2500};
+/// Within this time a change must be in force everywhere, by the settings that
+/// `review::cell` writes.
+constexpr review::milliseconds configuration_bound{2000};
 constexpr review::milliseconds answer_limit{10'000};
 const std::string job = "00000000000000f1";
 
@@ -27,10 +28,7 @@
         review::cell_options options;
         options.program = EEL_PLATFORM_PROGRAM;
         options.more_settings = "bounds.strictRevoke=true\nbounds.revokeMs=" +
-                                std::to_string(revocation_bound.count()) +
-                                "\nbounds.configApplyMs=" +
-                                std::to_string(configuration_bound.count()) +
-                                "\n";
+                                std::to_string(revocation_bound.count()) + "\n";
         options.configuration = make_tenants({"key-1", "key-2"});
         cell = std::make_unique<review::cell>(folder, record, options);
         cell->configure(nlohmann::json::object());
