--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -371,6 +371,7 @@
         m_led_until = base::monotonic_now();
     }
     m_leadership.reset();
+    m_is_placement_paused = false;
     m_orders.end_term();
     m_following_timer.start_once(base::milliseconds(0));
     m_registry_watcher->stop();
