--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -6,8 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace eelgrasslever;
-using workspace::directory;
 using workspace::configuration_validity;
+using workspace::directory;
 
 namespace {
 
@@ -75,12 +75,14 @@
     // Clocks may differ by 2% in rate.
     BOOST_TEST(!validity.is_valid(start, start + 4900 * second / 1000));
     BOOST_TEST(!validity.is_valid(start, start + 60 * second));
-    BOOST_TEST(configuration_validity(std::nullopt).is_valid(start, start + 60 * second));
+    BOOST_TEST(configuration_validity(std::nullopt)
+                   .is_valid(start, start + 60 * second));
 }
 
 // Nothing was ever read: the configuration is as old as the clock.
 BOOST_AUTO_TEST_CASE(unproven_configuration_decides_about_no_key) {
-    BOOST_TEST(!configuration_validity(5 * second).is_valid(base::instant{}, start));
+    BOOST_TEST(
+        !configuration_validity(5 * second).is_valid(base::instant{}, start));
 }
 
 BOOST_AUTO_TEST_CASE(limit_admits_what_fits_beside_running_work) {
