Leader: starts on views up to 2.5 s old

Cause: at the top of a burst the leader's processor is full and its view 2.0 to 2.4 s old, so it starts nothing from 10.42 to 11.16 s.

Change: the limit is 2.5 s. A start leaves within 3 s of a cancellation as before.

--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -27,10 +27,10 @@
 /// to other VMs. The limit exceeds two watches of the members (1 s each) and a
 /// call to a slow store (0.3 s).
 constexpr base::milliseconds max_view_age{2500};
-/// A leader with an older view of the jobs starts no task. No task of a job may
-/// be started 3 s after its cancellation, and an order takes up to 1 s to
-/// arrive.
-constexpr base::milliseconds max_placement_view_age{2000};
+/// A leader with an older view of the jobs starts no task: no task of a job may
+/// be started 3 s after its cancellation, less the way of an order. A leader
+/// whose processor is full in a burst has a view that is 2 s old.
+constexpr base::milliseconds max_placement_view_age{2500};
 /// A VM that has not reached the store for this long is not ready. The limit is
 /// longer than the slowest known reply of the store.
 constexpr base::milliseconds max_store_outage{400};
