--- a/tests/coordination/prefix_watcher_test.cpp
+++ b/tests/coordination/prefix_watcher_test.cpp
@@ -59,6 +59,19 @@
     void put_next_version() {
         put("p/config", padding + std::to_string(++version));
     }
+    /// Starts the watcher, and puts @p count versions in an outage of the
+    /// store.
+    void miss_versions(int count) {
+        put_next_version();
+        watcher->start();
+        test::run_loop(loop, settle_time);
+        store.default_reply = {status::unreachable, false};
+        test::run_loop(loop, settle_time);
+        for (int i = 0; i < count; ++i) {
+            put_next_version();
+        }
+        store.default_reply = {status::ok, true};
+    }
     [[nodiscard]] int seen_version() const {
         return std::stoi(view.at("p/config").substr(padding.size()));
     }
@@ -272,15 +285,7 @@
 // is longer than a call can transfer, so each call failed like the one before.
 BOOST_FIXTURE_TEST_CASE(a_history_too_long_for_a_call_does_not_keep_a_view_old,
                         narrow_link_fixture) {
-    put_next_version();
-    watcher->start();
-    test::run_loop(loop, settle_time);
-    store.default_reply = {status::unreachable, false};
-    test::run_loop(loop, settle_time);
-    for (int i = 0; i < 100; ++i) {
-        put_next_version();
-    }
-    store.default_reply = {status::ok, true};
+    miss_versions(100);
     test::run_loop(loop, base::milliseconds(1000));
     BOOST_TEST(seen_version() == version);
     BOOST_TEST(watcher->connected());
@@ -294,15 +299,7 @@
     constexpr std::size_t scale = 16;
     padding.resize(scale * padding.size(), 'x');
     store.link_bytes_per_ms *= scale;
-    put_next_version();
-    watcher->start();
-    test::run_loop(loop, settle_time);
-    store.default_reply = {status::unreachable, false};
-    test::run_loop(loop, settle_time);
-    for (int i = 0; i < 100; ++i) {
-        put_next_version();
-    }
-    store.default_reply = {status::ok, true};
+    miss_versions(100);
     test::run_loop(loop, base::milliseconds(1000));
     BOOST_TEST(seen_version() == version);
     watcher->stop();
