Submissions: an id that was cancelled before is not stored

A VM stood still with the submission, its client cancelled at another VM, the VM woke and stored the job; its second step started 3.5 s after the 410.

Cause: nothing ordered the two writes. A leader that hears of the job by a notice and of the mark by its watch starts tasks in between.

Change: the write of a submission has one condition more, that no cancellation of the id exists. The store orders the two, whichever VMs they reach. If an earlier attempt has stored the job, it is 200 as before.

--- a/include/eelgrasslever/cluster/job_service.hpp
+++ b/include/eelgrasslever/cluster/job_service.hpp
@@ -22,6 +22,7 @@
     accepted,  ///< stored, by this or an earlier attempt
     refused,   ///< not stored, and this attempt can't store it any more
     uncertain, ///< may have been stored; the client should retry
+    cancelled, ///< not stored, as the id was cancelled before
 };
 
 [[nodiscard]] const char* to_string(submit_result value);
@@ -87,12 +88,13 @@
     /// don't contradict it.
     void adopt_state(const std::string& id, workload::job_state state);
 
-    /// Stores @p job unless its id is known. @p done is called once.
+    /// Stores @p job unless its id is known or was cancelled. @p done is called
+    /// once.
     /// @param deadline when the client stops waiting.
     void submit(const workload::job& job, base::instant deadline,
                 const std::function<void(submit_result)>& done);
-    /// Stores a cancellation request, also of an unknown job: a submission that
-    /// is stored later is then cancelled at once. Cancelling a job that has
+    /// Stores a cancellation request, also of an unknown job: a submission of
+    /// it that is still under way is then not stored. Cancelling a job that has
     /// ended succeeds.
     /// @param deadline when the client stops waiting.
     void cancel(const std::string& id, base::instant deadline,
@@ -103,9 +105,6 @@
                const std::function<void(const state_result&)>& done);
 
   private:
-    static void
-    report_submit_outcome(const coordination::commit_outcome& outcome,
-                          const std::function<void(submit_result)>& done);
     void write_cancel(const std::string& id, base::instant deadline,
                       const std::function<void(cancel_result)>& done);
     using state_handler = std::function<void(const state_result&)>;
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -142,6 +142,7 @@
     refused,   ///< not done
     uncertain, ///< may have been done
     unknown_job,
+    cancelled, ///< for `submit`: not done, as the id was cancelled before
 };
 
 struct job_response {
--- a/src/cluster/job_service.cpp
+++ b/src/cluster/job_service.cpp
@@ -3,12 +3,57 @@
 #include "eelgrasslever/observe/log.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrasslever::cluster {
 
 using coordination::status;
 
+namespace {
+
+/// @return whether a submission of @p id has failed as the id was cancelled,
+/// with no job stored under it.
+bool is_cancelled_only(const coordination::commit_outcome& outcome,
+                       const std::string& id) {
+    auto exists = [&](const char* prefix) {
+        return std::any_of(outcome.current.begin(), outcome.current.end(),
+                           [key = prefix + id](const auto& entry) {
+                               return entry.key == key &&
+                                      entry.revision != coordination::absent;
+                           });
+    };
+    return exists(keys::cancel) && !exists(keys::job) &&
+           !exists(keys::progress);
+}
+
+submit_result to_submit_result(const coordination::commit_outcome& outcome,
+                               const std::string& id) {
+    switch (outcome.status) {
+    case status::ok:
+        return submit_result::accepted;
+    case status::conflict:
+        if (is_cancelled_only(outcome, id)) {
+            observe::log_event("job_cancelled_before_stored", {{"job", id}});
+            return submit_result::cancelled;
+        }
+        // An earlier attempt has stored the id.
+        observe::log_event("job_deduplicated",
+                           {{"job", id}, {"known_from", "store"}});
+        return submit_result::accepted;
+    case status::not_found:
+    case status::refused:
+        return outcome.uncertain ? submit_result::uncertain
+                                 : submit_result::refused;
+    case status::history_lost:
+    case status::unreachable:
+        break;
+    }
+    return submit_result::uncertain;
+}
+
+} // namespace
+
 const char* to_string(submit_result value) {
     switch (value) {
     case submit_result::accepted:
@@ -17,6 +62,8 @@
         return "refused";
     case submit_result::uncertain:
         return "uncertain";
+    case submit_result::cancelled:
+        return "cancelled";
     }
     return "unknown";
 }
@@ -116,10 +163,13 @@
     coordination::proposal write;
     // The conditions deduplicate attempts with the same id across all VMs. The
     // progress record outlives the job's record, so it also catches an attempt
-    // that arrives after the job has ended.
+    // that arrives after the job has ended. The store orders a submission and a
+    // cancellation of its id, whichever VMs they reach.
     write.change.conditions.push_back({keys::job + id, coordination::absent});
     write.change.conditions.push_back(
         {keys::progress + id, coordination::absent});
+    write.change.conditions.push_back(
+        {keys::cancel + id, coordination::absent});
     std::string record = workload::encode(job);
     write.change.puts.push_back(
         {keys::job + id, record, coordination::no_lease});
@@ -129,35 +179,11 @@
         if (outcome.status == status::ok && self->m_on_stored) {
             self->m_on_stored(id, record);
         }
-        if (outcome.status == status::conflict) {
-            observe::log_event("job_deduplicated",
-                               {{"job", id}, {"known_from", "store"}});
-        }
-        report_submit_outcome(outcome, done);
+        done(to_submit_result(outcome, id));
     };
     m_committer->submit(std::move(write));
 }
 
-void job_service::report_submit_outcome(
-    const coordination::commit_outcome& outcome,
-    const std::function<void(submit_result)>& done) {
-    switch (outcome.status) {
-    case status::ok:
-    case status::conflict: // an earlier attempt has stored the id
-        done(submit_result::accepted);
-        return;
-    case status::not_found:
-    case status::refused:
-        done(outcome.uncertain ? submit_result::uncertain
-                               : submit_result::refused);
-        return;
-    case status::history_lost:
-    case status::unreachable:
-        done(submit_result::uncertain);
-        return;
-    }
-}
-
 void job_service::cancel(const std::string& id, base::instant deadline,
                          const std::function<void(cancel_result)>& done) {
     auto now = base::monotonic_now();
@@ -172,8 +198,8 @@
     look_up_state(id, [self = shared_from_this(), id, deadline,
                        done](const state_result& found) {
         if (found.unknown_job) {
-            // An attempt to hand the job in may still be under way. It meets
-            // the mark, and the job ends as cancelled.
+            // An attempt to submit the job may still be under way. The store
+            // rejects it once the mark exists.
             self->write_cancel(id, deadline, [done](cancel_result marked) {
                 done(marked == cancel_result::cancelled
                          ? cancel_result::unknown_job
--- a/src/service/request_router.cpp
+++ b/src/service/request_router.cpp
@@ -23,6 +23,20 @@
 /// outcome.
 constexpr base::milliseconds timeout_backoff{1500};
 
+job_request_outcome to_wire(submit_result result) {
+    switch (result) {
+    case submit_result::accepted:
+        return job_request_outcome::accepted;
+    case submit_result::refused:
+        return job_request_outcome::refused;
+    case submit_result::cancelled:
+        return job_request_outcome::cancelled;
+    case submit_result::uncertain:
+        break;
+    }
+    return job_request_outcome::uncertain;
+}
+
 /// @return a random number, so that responses to questions of an earlier
 /// process at the same address match none of this one.
 std::uint64_t choose_first_query() {
@@ -190,7 +204,10 @@
             [state](bool answered, const wire::job_response& response) {
                 state->relay_pending = false;
                 if (answered) {
-                    state->finish(submit_result::accepted);
+                    state->finish(response.outcome ==
+                                          job_request_outcome::cancelled
+                                      ? submit_result::cancelled
+                                      : submit_result::accepted);
                     return;
                 }
                 state->may_be_stored =
@@ -218,7 +235,8 @@
     m_job_service.submit(
         job, local_deadline, [state, start_relay](submit_result result) {
             state->local_pending = false;
-            if (result == submit_result::accepted) {
+            if (result == submit_result::accepted ||
+                result == submit_result::cancelled) {
                 state->finish(result);
                 return;
             }
@@ -334,13 +352,7 @@
         }
         m_job_service.submit(*job, now + request.wait,
                              [self, from, query](submit_result result) {
-                                 auto outcome = job_request_outcome::uncertain;
-                                 if (result == submit_result::accepted) {
-                                     outcome = job_request_outcome::accepted;
-                                 } else if (result == submit_result::refused) {
-                                     outcome = job_request_outcome::refused;
-                                 }
-                                 self->respond(from, query, outcome);
+                                 self->respond(from, query, to_wire(result));
                              });
         return;
     }
--- a/tests/cluster/job_service_test.cpp
+++ b/tests/cluster/job_service_test.cpp
@@ -11,6 +11,7 @@
 using cluster::ended_jobs;
 using cluster::running_jobs;
 using cluster::state_result;
+using cluster::submit_result;
 using test::scripted_store;
 using workload::job_state;
 
@@ -54,6 +55,16 @@
         change.removals.push_back(job_key);
         store.apply(change);
     }
+    /// @return the outcome, once it is known.
+    std::optional<submit_result> submit() {
+        workload::job job;
+        job.id = "j1";
+        std::optional<submit_result> outcome;
+        service->submit(job, base::monotonic_now() + base::milliseconds(3000),
+                        [&outcome](submit_result result) { outcome = result; });
+        test::run_loop(loop, 10 * reply_time);
+        return outcome;
+    }
     void ask() {
         service->state("j1", [this](const state_result& found) {
             answers.push_back(found);
@@ -63,6 +74,7 @@
     const std::string job_key = std::string(cluster::keys::job) + "j1";
     const std::string progress_key =
         std::string(cluster::keys::progress) + "j1";
+    const std::string cancel_key = std::string(cluster::keys::cancel) + "j1";
     kernel::loop loop;
     counted_store store{loop};
     cluster::job_view view;
@@ -204,8 +216,39 @@
     test::run_loop(loop, 10 * reply_time);
     BOOST_REQUIRE(cancelled.has_value());
     BOOST_TEST((*cancelled == cluster::cancel_result::unknown_job));
-    BOOST_TEST(
-        store.entries().contains(std::string(cluster::keys::cancel) + "j1"));
+    BOOST_TEST(store.entries().contains(cancel_key));
+    BOOST_TEST((submit() == submit_result::cancelled));
+    BOOST_TEST(!store.entries().contains(job_key));
+    // Nobody is shown a job that was never accepted.
+    ask();
+    test::run_loop(loop, reply_time);
+    BOOST_TEST(answers.at(0).unknown_job);
+}
+
+// An earlier attempt has stored the job, so a client that is told that it never
+// runs would be told wrong.
+BOOST_AUTO_TEST_CASE(a_repeated_submission_of_a_cancelled_job_is_accepted) {
+    put(job_key, "");
+    put(cancel_key, "1");
+    BOOST_TEST((submit() == submit_result::accepted));
+    end_job();
+    BOOST_TEST((submit() == submit_result::accepted));
+}
+
+// The first write had no reply, and the cancellation came before its retry: the
+// answer depends on whether the first one was carried out.
+BOOST_AUTO_TEST_CASE(a_submission_whose_first_write_had_no_reply_is_not_lost) {
+    for (bool is_applied : {false, true}) {
+        coordination::transaction removal;
+        removal.removals = {job_key, cancel_key};
+        store.apply(removal);
+        store.next_replies = {{coordination::status::unreachable, is_applied}};
+        kernel::timer cancelled(loop, [this] { put(cancel_key, "1"); });
+        cancelled.start_once(reply_time);
+        BOOST_TEST((submit() == (is_applied ? submit_result::accepted
+                                            : submit_result::cancelled)));
+        BOOST_TEST(store.entries().contains(job_key) == is_applied);
+    }
 }
 
 // The mark must be stored before the client is told that there is no job.
--- a/tests/service/request_router_test.cpp
+++ b/tests/service/request_router_test.cpp
@@ -215,6 +215,20 @@
     BOOST_TEST((*outcome == submit_result::uncertain));
 }
 
+// A client whose job was cancelled is told that it never runs, also if a peer
+// has found that out.
+BOOST_AUTO_TEST_CASE(a_peer_reports_that_a_job_was_cancelled_before) {
+    local.store.default_reply = {status::refused, false};
+    probe_local_store();
+    coordination::transaction mark;
+    mark.puts.push_back({std::string(cluster::keys::cancel) + "j1", "1", 0});
+    peer.store.apply(mark);
+    auto outcome = submit_job();
+    test::run_loop(loop, reply_time);
+    BOOST_TEST((*outcome == submit_result::cancelled));
+    BOOST_TEST(peer.store.entries().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(relay_without_a_response_is_reported_as_uncertain) {
     local.store.default_reply = {status::refused, false};
     probe_local_store();
