Cancellations of unknown jobs: limited, and removed as fast as they come

Callers saw: clients that cancel unknown ids, on a queue without keys, fill every VM: 0.65 KB for each, 650 a second, kept for 180 s (58.7 MB after 105 s on, where the smallest VM has 120 MB), and an ordinary submission took 9 ms in place of 4.

Cause: a cancellation of an unknown id is stored whatever their number, and the leader removes the records of 40 jobs a second. The latter is also below the 95 jobs a second of the busiest deployments, so that ended jobs pile up as well.

Change: - At most 6,000 such cancellations in the cell, shared evenly by its VMs, each kept for 60 s. Cancellations of known jobs are not limited. A submission under way ends with its client's deadline, so 60 s suffice. - The leader removes the records of up to 300 jobs a second, by a committer of their own, so that they don't delay the records of starts; a pass begins once the one before has its outcomes, as proposals must not share keys. - A peer that rejects such a cancellation is not backed off for other requests.

Tests: cancellations_of_unknown_jobs (test_door) fails on.

--- a/include/eelgrasslever/cluster/job_service.hpp
+++ b/include/eelgrasslever/cluster/job_service.hpp
@@ -6,6 +6,7 @@
 #include "eelgrasslever/cluster/ended_jobs.hpp"
 #include "eelgrasslever/cluster/job_view.hpp"
 #include "eelgrasslever/cluster/running_jobs.hpp"
+#include "eelgrasslever/cluster/unmet_cancellations.hpp"
 #include "eelgrasslever/coordination/committer.hpp"
 #include "eelgrasslever/coordination/store.hpp"
 
@@ -27,7 +28,13 @@
 
 [[nodiscard]] const char* to_string(submit_result value);
 
-enum class cancel_result { cancelled, unknown_job, unavailable };
+enum class cancel_result {
+    cancelled,
+    unknown_job, ///< and a submission of it that is under way is not stored
+    unavailable,
+    /// Not stored, as the job is unknown and too many such cancellations are.
+    rejected,
+};
 
 [[nodiscard]] const char* to_string(cancel_result value);
 
@@ -99,6 +106,10 @@
     /// @param deadline when the client stops waiting.
     void cancel(const std::string& id, base::instant deadline,
                 const std::function<void(cancel_result)>& done);
+    /// Sets how many VMs the cell has.
+    void set_members(std::size_t vms) {
+        m_unmet_cancellations.set_members(vms);
+    }
     /// Reports the state from the local view if the view determines it,
     /// otherwise from the store.
     void state(const std::string& id,
@@ -134,6 +145,7 @@
     stored_handler m_on_stored;
     ended_jobs m_ended_jobs;
     running_jobs m_running_jobs;
+    unmet_cancellations m_unmet_cancellations;
     std::unordered_map<std::string, look_up> m_look_ups;
 };
 
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -300,6 +300,8 @@
     std::optional<coordination::leadership> m_leadership;
     std::unique_ptr<cluster::scheduler> m_scheduler;
     std::shared_ptr<coordination::committer> m_progress_committer;
+    std::shared_ptr<coordination::committer> m_removal_committer;
+    std::size_t m_removals_pending{0}; ///< proposals without an outcome
     /// Revision of each progress record written under this leadership. Entries
     /// are kept until the next leadership, so that a finished job is not
     /// scheduled again.
--- a/include/eelgrasslever/wire/message.hpp
+++ b/include/eelgrasslever/wire/message.hpp
@@ -143,6 +143,7 @@
     uncertain, ///< may have been done
     unknown_job,
     cancelled, ///< for `submit`: not done, as the id was cancelled before
+    rejected,  ///< for `cancel`: not done, and no other VM is to be asked
 };
 
 struct job_response {
--- a/src/cluster/job_service.cpp
+++ b/src/cluster/job_service.cpp
@@ -76,6 +76,8 @@
         return "unknown_job";
     case cancel_result::unavailable:
         return "unavailable";
+    case cancel_result::rejected:
+        return "rejected";
     }
     return "unknown";
 }
@@ -197,7 +199,11 @@
     }
     look_up_state(id, [self = shared_from_this(), id, deadline,
                        done](const state_result& found) {
-        if (found.unknown_job) {
+        bool is_unknown = found.unknown_job;
+        if (is_unknown &&
+            !self->m_unmet_cancellations.admit(base::monotonic_now())) {
+            done(cancel_result::rejected);
+        } else if (is_unknown) {
             // An attempt to submit the job may still be under way. The store
             // rejects it once the mark exists.
             self->write_cancel(id, deadline, [done](cancel_result marked) {
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -50,6 +50,9 @@
 /// time of the leader's records adds to the delay of each start.
 constexpr base::milliseconds job_commit_interval{10};
 constexpr base::milliseconds progress_commit_interval{20};
+/// Removals of expired records have no haste, and must not delay other writes
+/// of the leader. A pass of them takes at most 20 transactions.
+constexpr base::milliseconds removal_commit_interval{40};
 /// Heartbeats change the registry continuously, so changes are read in groups.
 /// A draining endpoint must be detected well within its grace period of 2 s.
 constexpr coordination::prefix_watcher_timing registry_watcher_timing{
@@ -304,6 +307,10 @@
     m_progress_committer = std::make_shared<coordination::committer>(
         m_owner, m_store, progress_commit_interval,
         std::vector{leadership.guard});
+    m_removal_committer = std::make_shared<coordination::committer>(
+        m_owner, m_store, removal_commit_interval,
+        std::vector{leadership.guard});
+    m_removals_pending = 0;
     // The view may not contain the last writes of the previous leader. None of
     // them is later than this VM's own write of the leader key, which is a
     // condition of them all.
@@ -376,8 +383,10 @@
     m_following_timer.start_once(base::milliseconds(0));
     m_registry_watcher->stop();
     m_cluster_watcher->set_batch_delay(cluster_watcher_timing.batch_delay);
-    if (m_progress_committer) {
-        m_progress_committer->stop();
+    for (const auto& committer : {m_progress_committer, m_removal_committer}) {
+        if (committer) {
+            committer->stop();
+        }
     }
     // This may be called from within the scheduler, so its destruction is
     // deferred.
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -2,6 +2,7 @@
 #include "eelgrasslever/service/cluster_service.hpp"
 
 #include "eelgrasslever/base/json.hpp"
+#include "eelgrasslever/cluster/expired_records.hpp"
 #include "eelgrasslever/observe/log.hpp"
 #include "eelgrasslever/workload/codec.hpp"
 
@@ -14,9 +15,6 @@
 
 namespace {
 
-/// Limit of removed jobs in one pass, so that a pass needs at most four
-/// transactions.
-constexpr std::size_t max_removals_per_pass = 40;
 /// How long a write of the leader is retried. A longer outage of the store ends
 /// the leadership, and the next leader reads the state from the endpoints.
 constexpr base::milliseconds record_timeout{10'000};
@@ -236,29 +234,22 @@
     if (!m_scheduler) {
         return;
     }
-    std::size_t removed = 0;
-    for (const auto& [id, entry] : m_job_view.all()) {
-        bool is_unmet =
-            entry.is_unmet_cancellation(now - cluster::ended_jobs::retention);
-        bool has_expired =
-            workload::is_terminal(entry.progress.state) &&
-            now - entry.ended_at >= cluster::ended_jobs::retention;
-        if (!is_unmet && !has_expired) {
-            continue;
-        }
+    // Proposals that are pending together must not use the same keys.
+    if (m_removals_pending > 0) {
+        return;
+    }
+    for (auto& keys : cluster::find_expired_records(m_job_view, now)) {
         coordination::proposal next;
-        if (has_expired) {
-            next.change.removals.push_back(cluster::keys::progress + id);
-        }
-        if (entry.cancel_requested) {
-            next.change.removals.push_back(cluster::keys::cancel + id);
-        }
+        next.change.removals = std::move(keys);
         next.deadline = now + record_timeout;
-        next.done = [](const coordination::commit_outcome&) {};
-        m_progress_committer->submit(std::move(next));
-        if (++removed >= max_removals_per_pass) {
-            return;
-        }
+        next.done = [this, generation = m_leadership_generation,
+                     alive = m_alive](const coordination::commit_outcome&) {
+            if (*alive && m_leadership_generation == generation) {
+                m_removals_pending--;
+            }
+        };
+        m_removals_pending++;
+        m_removal_committer->submit(std::move(next));
     }
 }
 
--- a/src/service/cluster_service_peers.cpp
+++ b/src/service/cluster_service_peers.cpp
@@ -167,6 +167,7 @@
 void cluster_service::update_members() {
     auto now = base::monotonic_now();
     m_router->set_peers(m_members.peer_addresses());
+    m_job_service->set_members(m_members.size());
     m_election->set_low_priority(m_members.is_outranked(now));
     m_following_timer.start_once(base::milliseconds(0));
     if (m_scheduler) {
--- a/src/service/request_router.cpp
+++ b/src/service/request_router.cpp
@@ -37,6 +37,32 @@
     return job_request_outcome::uncertain;
 }
 
+job_request_outcome to_wire(cancel_result result) {
+    switch (result) {
+    case cancel_result::cancelled:
+        return job_request_outcome::accepted;
+    case cancel_result::unknown_job:
+        return job_request_outcome::unknown_job;
+    case cancel_result::rejected:
+        return job_request_outcome::rejected;
+    case cancel_result::unavailable:
+        break;
+    }
+    return job_request_outcome::uncertain;
+}
+
+/// @param outcome of a peer that has carried out or rejected the request.
+cancel_result to_cancel_result(job_request_outcome outcome) {
+    switch (outcome) {
+    case job_request_outcome::unknown_job:
+        return cancel_result::unknown_job;
+    case job_request_outcome::rejected:
+        return cancel_result::rejected;
+    default:
+        return cancel_result::cancelled;
+    }
+}
+
 /// @return a random number, so that responses to questions of an earlier
 /// process at the same address match none of this one.
 std::uint64_t choose_first_query() {
@@ -261,14 +287,8 @@
     query_peers(request, max_peers,
                 [done = std::move(done)](bool answered,
                                          const wire::job_response& response) {
-                    if (!answered) {
-                        done(cancel_result::unavailable);
-                    } else {
-                        done(response.outcome ==
-                                     job_request_outcome::unknown_job
-                                 ? cancel_result::unknown_job
-                                 : cancel_result::cancelled);
-                    }
+                    done(answered ? to_cancel_result(response.outcome)
+                                  : cancel_result::unavailable);
                 });
 }
 
@@ -359,14 +379,7 @@
     case job_request_kind::cancel:
         m_job_service.cancel(request.id, now + request.wait,
                              [self, from, query](cancel_result result) {
-                                 auto outcome = job_request_outcome::uncertain;
-                                 if (result == cancel_result::cancelled) {
-                                     outcome = job_request_outcome::accepted;
-                                 } else if (result ==
-                                            cancel_result::unknown_job) {
-                                     outcome = job_request_outcome::unknown_job;
-                                 }
-                                 self->respond(from, query, outcome);
+                                 self->respond(from, query, to_wire(result));
                              });
         return;
     case job_request_kind::state:
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -343,7 +343,7 @@
 
 std::optional<message> unpack(const schema::JobResponse& in) {
     if (in.outcome() >
-        static_cast<std::uint8_t>(job_request_outcome::cancelled)) {
+        static_cast<std::uint8_t>(job_request_outcome::rejected)) {
         return std::nullopt;
     }
     job_response out{in.query(),
--- a/tests/cluster/job_service_test.cpp
+++ b/tests/cluster/job_service_test.cpp
@@ -8,10 +8,12 @@
 #include <vector>
 
 using namespace eelgrasslever;
+using cluster::cancel_result;
 using cluster::ended_jobs;
 using cluster::running_jobs;
 using cluster::state_result;
 using cluster::submit_result;
+using cluster::unmet_cancellations;
 using test::scripted_store;
 using workload::job_state;
 
@@ -65,6 +67,14 @@
         test::run_loop(loop, 10 * reply_time);
         return outcome;
     }
+    /// @return the outcome, once it is known.
+    std::optional<cancel_result> cancel(const std::string& id) {
+        std::optional<cancel_result> outcome;
+        service->cancel(id, base::monotonic_now() + base::milliseconds(3000),
+                        [&outcome](cancel_result result) { outcome = result; });
+        test::run_loop(loop, 10 * reply_time);
+        return outcome;
+    }
     void ask() {
         service->state("j1", [this](const state_result& found) {
             answers.push_back(found);
@@ -210,12 +220,7 @@
 // A client cancelled a job while its submission was still under way. The answer
 // was 410, the job was stored afterwards, and it ran.
 BOOST_AUTO_TEST_CASE(cancellation_of_an_unknown_job_meets_its_submission) {
-    std::optional<cluster::cancel_result> cancelled;
-    service->cancel("j1", base::monotonic_now() + base::milliseconds(3000),
-                    [&](cluster::cancel_result result) { cancelled = result; });
-    test::run_loop(loop, 10 * reply_time);
-    BOOST_REQUIRE(cancelled.has_value());
-    BOOST_TEST((*cancelled == cluster::cancel_result::unknown_job));
+    BOOST_TEST((cancel("j1") == cancel_result::unknown_job));
     BOOST_TEST(store.entries().contains(cancel_key));
     BOOST_TEST((submit() == submit_result::cancelled));
     BOOST_TEST(!store.entries().contains(job_key));
@@ -225,6 +230,18 @@
     BOOST_TEST(answers.at(0).unknown_job);
 }
 
+// Each cancellation of an unknown job takes memory on every VM, and a client
+// can send any number of them.
+BOOST_AUTO_TEST_CASE(cancellations_of_unknown_jobs_are_limited) {
+    service->set_members(unmet_cancellations::max_stored / 2);
+    BOOST_TEST((cancel("a") == cancel_result::unknown_job));
+    BOOST_TEST((cancel("b") == cancel_result::unknown_job));
+    BOOST_TEST((cancel("c") == cancel_result::rejected));
+    BOOST_TEST(store.entries().size() == 2u);
+    put(job_key, "");
+    BOOST_TEST((cancel("j1") == cancel_result::cancelled));
+}
+
 // An earlier attempt has stored the job, so a client that is told that it never
 // runs would be told wrong.
 BOOST_AUTO_TEST_CASE(a_repeated_submission_of_a_cancelled_job_is_accepted) {
--- a/tests/door/crowd_test.cpp
+++ b/tests/door/crowd_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <thread>
+#include <vector>
 
 using namespace eelgrasslever;
 
@@ -162,6 +164,31 @@
     play(cell->client_address(0), text, 65'536);
 }
 
+// Each cancellation of an unknown job was stored for 180 s, without a limit,
+// and took 0.65 KB on every VM.
+BOOST_AUTO_TEST_CASE(cancellations_of_unknown_jobs) {
+    constexpr int clients = 14;
+    constexpr int cancellations = 1200; ///< of one client
+    /// The process takes some 15 MB before them.
+    constexpr std::size_t memory_bound_mb = 22;
+    std::vector<std::thread> threads;
+    for (int client = 0; client < clients; ++client) {
+        threads.emplace_back([this, client] {
+            for (int i = 0; i < cancellations; ++i) {
+                cell->cancel(0,
+                             std::to_string(client) + "-" + std::to_string(i));
+            }
+        });
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    check_usage();
+    auto usage = test::read_usage(cell->process_of(0));
+    BOOST_TEST(usage.peak_resident_mb <= memory_bound_mb);
+    check_service();
+}
+
 // Slow clients held every connection that the VM could have.
 BOOST_AUTO_TEST_CASE(crowd_that_stops_within_the_header) {
     test::crowd first(cell->client_address(0), crowd_size);
--- a/tests/service/request_router_test.cpp
+++ b/tests/service/request_router_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <optional>
+#include <vector>
 
 using namespace eelgrasslever;
 using cluster::submit_result;
@@ -215,6 +216,27 @@
     BOOST_TEST((*outcome == submit_result::uncertain));
 }
 
+// A peer that takes no more cancellations of unknown jobs is not to be avoided
+// for other requests.
+BOOST_AUTO_TEST_CASE(a_rejected_cancellation_does_not_back_its_peer_off) {
+    local.store.default_reply = {status::refused, false};
+    probe_local_store();
+    peer.job_service->set_members(cluster::unmet_cancellations::max_stored);
+    std::vector<cluster::cancel_result> outcomes;
+    for (const char* id : {"a", "b"}) {
+        local.router->cancel_job(
+            id, base::monotonic_now() + client_timeout,
+            [&](cluster::cancel_result result) { outcomes.push_back(result); });
+        test::run_loop(loop, reply_time);
+    }
+    BOOST_REQUIRE(outcomes.size() == 2u);
+    BOOST_TEST((outcomes[0] == cluster::cancel_result::unknown_job));
+    BOOST_TEST((outcomes[1] == cluster::cancel_result::rejected));
+    auto outcome = submit_job();
+    test::run_loop(loop, reply_time);
+    BOOST_TEST((*outcome == submit_result::accepted));
+}
+
 // A client whose job was cancelled is told that it never runs, also if a peer
 // has found that out.
 BOOST_AUTO_TEST_CASE(a_peer_reports_that_a_job_was_cancelled_before) {
