Tests: the set-up of the door's tests in one place

Three files had the same fixture: a folder, a store, an endpoint and one entry VM. All of them now also take the program that EEL_PLATFORM_PROGRAM names, which HACKING.md promises; only the crowds did.

--- a/tests/door/crowd_test.cpp
+++ b/tests/door/crowd_test.cpp
@@ -2,12 +2,9 @@
 // memory and the descriptors of a small machine, and plays one kind of client.
 // Memory, descriptors and the crowd are fixed; nothing depends on speed.
 #include "crowd.hpp"
-
-#include "cell.hpp"
+#include "entry_vm.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
-#include <filesystem>
 #include <thread>
 #include <vector>
 
@@ -30,33 +27,15 @@
 const std::string queue_path = "/queue/00000000000000c1";
 const std::string unrouted_path = "/elsewhere/00000000000000c1";
 
-std::string program() {
-    const char* other = std::getenv("EEL_PLATFORM_PROGRAM");
-    return other == nullptr ? EEL_PLATFORM_PROGRAM : other;
+review::cell_options small_vm() {
+    review::cell_options options;
+    options.memory_mb = vm_memory_mb;
+    options.max_descriptors = vm_descriptors;
+    return options;
 }
 
-struct fixture {
-    fixture() {
-        review::cell_options options;
-        options.program = program();
-        options.memory_mb = vm_memory_mb;
-        options.max_descriptors = vm_descriptors;
-        cell = std::make_unique<review::cell>(folder, record, options);
-        cell->configure(nlohmann::json::object());
-        cell->add_worker("i-a1", "a", "r-1");
-        cell->add_node("escazu");
-        cell->wait_until_serving();
-    }
-    ~fixture() {
-        cell.reset();
-        std::filesystem::remove_all(folder);
-    }
-
-    static std::string make_folder() {
-        std::string name =
-            std::filesystem::temp_directory_path() / "doorXXXXXX";
-        return mkdtemp(name.data());
-    }
+struct fixture : test::entry_vm {
+    fixture() : entry_vm(small_vm()) {}
 
     /// Checks the process while the crowd is there.
     void check_usage() {
@@ -93,10 +72,6 @@
                    "completed");
         BOOST_TEST(cell->is_alive(0));
     }
-
-    std::string folder{make_folder()};
-    review::record_file record{folder + "/record.txt"};
-    std::unique_ptr<review::cell> cell;
 };
 
 } // namespace
--- a/tests/door/revocation_test.cpp
+++ b/tests/door/revocation_test.cpp
@@ -1,11 +1,10 @@
 // Keys of workspaces, with the system's own processes: whom a VM serves while
 // it can't know the newest configuration.
-#include "cell.hpp"
+#include "entry_vm.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
+#include <thread>
 
 namespace {
 
@@ -23,29 +22,17 @@
     return {{"tenants", nlohmann::json::array({tenant})}};
 }
 
-struct fixture {
-    fixture() {
-        review::cell_options options;
-        options.program = EEL_PLATFORM_PROGRAM;
-        options.more_settings = "bounds.strictRevoke=true\nbounds.revokeMs=" +
-                                std::to_string(revocation_bound.count()) + "\n";
-        options.configuration = make_tenants({"key-1", "key-2"});
-        cell = std::make_unique<review::cell>(folder, record, options);
-        cell->configure(nlohmann::json::object());
-        cell->add_worker("i-a1", "a", "r-1");
-        cell->add_node("escazu");
-        cell->use_key("key-1");
-        cell->wait_until_serving();
-    }
-    ~fixture() {
-        cell.reset();
-        std::filesystem::remove_all(folder);
-    }
-    static std::string make_folder() {
-        std::string name =
-            std::filesystem::temp_directory_path() / "keysXXXXXX";
-        return mkdtemp(name.data());
-    }
+review::cell_options two_keys() {
+    review::cell_options options;
+    options.more_settings = "bounds.strictRevoke=true\nbounds.revokeMs=" +
+                            std::to_string(revocation_bound.count()) + "\n";
+    options.configuration = make_tenants({"key-1", "key-2"});
+    return options;
+}
+
+struct fixture : eelgrasslever::test::entry_vm {
+    fixture() : entry_vm(two_keys(), "key-1") {}
+
     /// @return the status of the answer, or 0 if there is none.
     int submit(const std::string& key) {
         cell->use_key(key);
@@ -80,10 +67,6 @@
         }
         return false;
     }
-
-    std::string folder{make_folder()};
-    review::record_file record{folder + "/record.txt"};
-    std::unique_ptr<review::cell> cell;
 };
 
 } // namespace
--- a/tests/door/stop_test.cpp
+++ b/tests/door/stop_test.cpp
@@ -1,10 +1,10 @@
 // A planned stop beside clients, with the system's own process.
-#include "cell.hpp"
+#include "entry_vm.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
+#include <optional>
+#include <thread>
 
 namespace {
 
@@ -15,34 +15,9 @@
 constexpr review::milliseconds pause_time{1000};
 constexpr review::milliseconds answer_limit{10'000};
 
-struct fixture {
-    fixture() {
-        review::cell_options options;
-        options.program = EEL_PLATFORM_PROGRAM;
-        cell = std::make_unique<review::cell>(folder, record, options);
-        cell->configure(nlohmann::json::object());
-        cell->add_worker("i-a1", "a", "r-1");
-        cell->add_node("escazu");
-        cell->wait_until_serving();
-    }
-    ~fixture() {
-        cell.reset();
-        std::filesystem::remove_all(folder);
-    }
-    static std::string make_folder() {
-        std::string name =
-            std::filesystem::temp_directory_path() / "stopXXXXXX";
-        return mkdtemp(name.data());
-    }
-
-    std::string folder{make_folder()};
-    review::record_file record{folder + "/record.txt"};
-    std::unique_ptr<review::cell> cell;
-};
-
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(stop_beside_clients, fixture)
+BOOST_FIXTURE_TEST_SUITE(stop_beside_clients, eelgrasslever::test::entry_vm)
 
 // Guards against a process that stops as idle though a request waits in its
 // socket: it did not run for a while, and its timer is due before it has read.
