--- a/include/eelgrasslever/http/server.hpp
+++ b/include/eelgrasslever/http/server.hpp
@@ -59,6 +59,10 @@
 
     /// @return whether the connection is closed.
     [[nodiscard]] bool closed() const { return m_connection == nullptr; }
+    /// @return whether the client has closed its side of the connection, so
+    /// that nobody waits for the response. Not known, and false, while a later
+    /// request on the connection is unread.
+    [[nodiscard]] bool client_has_left() const;
 
   private:
     friend class server;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <charconv>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -412,6 +413,15 @@
     return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
+bool exchange::client_has_left() const {
+    if (m_state == nullptr) {
+        return true;
+    }
+    char next = 0;
+    ssize_t size = recv(m_state->descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
 void exchange::respond(response reply) {
     if (m_response || m_connection == nullptr) {
         return;
