Peers: a submission that waited for a paused VM is not stored

Callers saw, by reading: a job runs for nobody. A VM that can't reach the store passes a submission to a peer and waits 0.3 s for it. A peer that does not run meanwhile reads it when it wakes, counts the client's time from then on and stores it, though the sender has given it up and its client may have left.

Change: a VM that did not run for over 250 ms refuses submissions of peers that it reads within the next 100 ms. Carriers of the leader's orders had this check; it is now pause_detector, which both use. It looks every 50 ms also while no order is under way.

Test: a_peer_that_was_paused_does_not_store_a_job, which fails without the check (the job is stored). order_relay_test passes unchanged but for the place of the constant.

--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -240,6 +240,7 @@
     kernel::loop& m_owner;
     cluster_options m_options;
     coordination::monitored_store m_store;
+    pause_detector m_pauses;
     order_relay m_orders;    ///< to endpoints, by this VM as the leader
     order_carrier m_carrier; ///< of other leaders' orders
     advice_gateway& m_advice;
--- a/include/eelgrasslever/service/order_carrier.hpp
+++ b/include/eelgrasslever/service/order_carrier.hpp
@@ -5,6 +5,7 @@
 #include "eelgrasslever/kernel/loop.hpp"
 #include "eelgrasslever/observe/metrics.hpp"
 #include "eelgrasslever/service/gateways.hpp"
+#include "eelgrasslever/service/pause_detector.hpp"
 #include "eelgrasslever/wire/message.hpp"
 
 #include <functional>
@@ -30,17 +31,13 @@
     /// Replies are gathered for this long, a small part of the time in which
     /// urgent work is due to start.
     static constexpr base::milliseconds reply_delay{5};
-    /// After a pause of the process that was longer than this, orders may be
-    /// old that arrive within `distrust_period`. Their leader has sent them
-    /// itself meanwhile, so they are not passed on.
-    static constexpr base::milliseconds max_pause{250};
-    static constexpr base::milliseconds distrust_period{100};
     /// Orders whose replies are due. Further ones are not passed on.
     static constexpr std::size_t max_under_way = 2000;
 
     /// @param send passes a message to the VM at a peer address.
     order_carrier(kernel::loop& owner, endpoint_gateway& endpoints,
-                  send_function send, observe::metrics& metrics);
+                  send_function send, const pause_detector& pauses,
+                  observe::metrics& metrics);
     ~order_carrier();
     order_carrier(const order_carrier&) = delete;
     order_carrier& operator=(const order_carrier&) = delete;
@@ -59,23 +56,16 @@
     void add_reply(const std::string& leader, wire::relayed_reply&& reply);
     void schedule_replies();
     void send_replies();
-    /// Runs periodically while orders are under way, so that a pause shows.
-    void note_awake();
-    /// @return whether orders that arrive now may have waited for this process.
-    [[nodiscard]] bool may_be_old(base::instant now) const;
 
     kernel::loop& m_owner;
     endpoint_gateway& m_endpoints;
     send_function m_send;
+    const pause_detector& m_pauses;
     observe::metrics& m_metrics;
     std::map<std::string, session> m_sessions; ///< by peer address
     std::size_t m_under_way{0};
     bool m_replies_scheduled{false};
     kernel::timer m_reply_timer;
-    kernel::timer m_awake_timer;
-    /// On the clock that counts suspended time, as `m_distrusted_until`.
-    base::instant m_awake_at;
-    base::instant m_distrusted_until{};
     /// Callbacks share the flag and return early once it is false.
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
--- a/include/eelgrasslever/service/request_router.hpp
+++ b/include/eelgrasslever/service/request_router.hpp
@@ -6,6 +6,7 @@
 #include "eelgrasslever/cluster/job_service.hpp"
 #include "eelgrasslever/coordination/monitored_store.hpp"
 #include "eelgrasslever/kernel/loop.hpp"
+#include "eelgrasslever/service/pause_detector.hpp"
 #include "eelgrasslever/wire/message.hpp"
 
 #include <functional>
@@ -53,7 +54,8 @@
     request_router(kernel::loop& owner, cluster::job_service& job_service,
                    const cluster::job_view& job_view,
                    const coordination::monitored_store& store,
-                   send_function send, leader_function leader);
+                   const pause_detector& pauses, send_function send,
+                   leader_function leader);
 
     ~request_router();
     request_router(const request_router&) = delete;
@@ -127,6 +129,7 @@
     cluster::job_service& m_job_service;
     const cluster::job_view& m_job_view;
     const coordination::monitored_store& m_store;
+    const pause_detector& m_pauses;
     send_function m_send;
     std::map<std::string, std::string> m_peers;
     /// When the back-off of a peer ends, by address.
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -73,6 +73,7 @@
                                  external_records records,
                                  observe::metrics& metrics)
     : m_owner(owner), m_options(std::move(options)), m_store(store),
+      m_pauses(owner),
       m_orders(
           owner, endpoints,
           [this](const std::string& address, wire::message content) {
@@ -84,7 +85,7 @@
           [this](const std::string& address, wire::message content) {
               send_to_peer(address, std::move(content));
           },
-          metrics),
+          m_pauses, metrics),
       m_advice(advice), m_external_records(std::move(records)),
       m_metrics(metrics),
       m_job_committer(std::make_shared<coordination::committer>(
@@ -96,7 +97,7 @@
               on_job_stored(id, record);
           })),
       m_router(std::make_shared<request_router>(
-          owner, *m_job_service, m_job_view, m_store,
+          owner, *m_job_service, m_job_view, m_store, m_pauses,
           [this](const std::string& address, wire::message content) {
               send_to_peer(address, std::move(content));
           },
--- a/src/service/order_carrier.cpp
+++ b/src/service/order_carrier.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr const char* carrier_activity = "order_carrier";
-constexpr base::milliseconds awake_period{50};
 
 } // namespace
 
@@ -40,43 +39,27 @@
 }
 
 order_carrier::order_carrier(kernel::loop& owner, endpoint_gateway& endpoints,
-                             send_function send, observe::metrics& metrics)
+                             send_function send, const pause_detector& pauses,
+                             observe::metrics& metrics)
     : m_owner(owner), m_endpoints(endpoints), m_send(std::move(send)),
-      m_metrics(metrics), m_reply_timer(owner, [this] { send_replies(); }),
-      m_awake_timer(owner, [this] { note_awake(); }),
-      m_awake_at(base::uptime_now()) {}
+      m_pauses(pauses), m_metrics(metrics),
+      m_reply_timer(owner, [this] { send_replies(); }) {}
 
 order_carrier::~order_carrier() {
     *m_alive = false;
 }
 
-void order_carrier::note_awake() {
-    auto now = base::uptime_now();
-    if (now - m_awake_at > max_pause) {
-        m_distrusted_until = now + distrust_period;
-    }
-    m_awake_at = now;
-    if (m_under_way == 0) {
-        m_awake_timer.cancel();
-    }
-}
-
-bool order_carrier::may_be_old(base::instant now) const {
-    return now < m_distrusted_until ||
-           (m_under_way > 0 && now - m_awake_at > max_pause);
-}
-
 void order_carrier::on_orders(const std::string& leader,
                               const wire::order_batch& batch) {
     kernel::activity measured(m_owner, carrier_activity);
-    auto now = base::uptime_now();
-    bool is_refused = may_be_old(now);
+    // The leader has sent old orders itself meanwhile.
+    bool is_refused = m_pauses.may_be_old();
     if (is_refused) {
         observe::log_event(
             "orders_not_passed_on",
             {{"leader", leader},
              {"orders", std::to_string(batch.orders.size())},
-             {"paused_ms", std::to_string((now - m_awake_at).count())}});
+             {"paused_ms", std::to_string(m_pauses.since_awake().count())}});
     }
     session& from = m_sessions[leader];
     from.received = std::max(from.received, batch.sequence);
@@ -96,10 +79,7 @@
 
 void order_carrier::pass_on(const std::string& leader,
                             const wire::relayed_order& order) {
-    if (m_under_way++ == 0) {
-        m_awake_at = base::uptime_now();
-        m_awake_timer.start_every(awake_period);
-    }
+    m_under_way++;
     m_metrics.add("orders_carried");
     send_to_endpoint(m_endpoints, order,
                      [this, leader, id = order.id,
--- a/src/service/request_router.cpp
+++ b/src/service/request_router.cpp
@@ -113,9 +113,10 @@
                                cluster::job_service& job_service,
                                const cluster::job_view& job_view,
                                const coordination::monitored_store& store,
-                               send_function send, leader_function leader)
+                               const pause_detector& pauses, send_function send,
+                               leader_function leader)
     : m_owner(owner), m_job_service(job_service), m_job_view(job_view),
-      m_store(store), m_send(std::move(send)),
+      m_store(store), m_pauses(pauses), m_send(std::move(send)),
       m_next_query(choose_first_query()), m_leader(std::move(leader)),
       m_count_timer(owner, [this] {
           if (m_is_fetching_counts) {
@@ -363,6 +364,14 @@
     std::uint64_t query = request.query;
     switch (request.kind) {
     case job_request_kind::submit: {
+        // The sender has given up a submission that waited for this process,
+        // and its client may have left.
+        if (m_pauses.may_be_old()) {
+            observe::log_event("relayed_job_refused",
+                               {{"job", request.id}, {"why", "paused"}});
+            respond(from, query, job_request_outcome::refused);
+            return;
+        }
         auto job = workload::decode_job(request.job, request.id);
         if (!job) {
             observe::log_error("relayed_job_unreadable",
--- a/tests/service/order_relay_test.cpp
+++ b/tests/service/order_relay_test.cpp
@@ -83,7 +83,7 @@
 struct test_carrier {
     test_carrier(kernel::loop& owner, const std::string& vm_address,
                  std::function<void(const std::string&, wire::reply_batch)> to)
-        : address(vm_address), endpoints(owner),
+        : address(vm_address), endpoints(owner), pauses(owner),
           carrier(
               owner, endpoints,
               [this, to = std::move(to)](const std::string&,
@@ -93,10 +93,11 @@
                          std::get<wire::reply_batch>(std::move(content)));
                   }
               },
-              metrics) {}
+              pauses, metrics) {}
 
     std::string address;
     test_endpoints endpoints;
+    service::pause_detector pauses;
     observe::metrics metrics;
     order_carrier carrier;
     std::size_t frames{0};
@@ -362,7 +363,8 @@
     vm.endpoints.delay = milliseconds(2000);
     renew(make_endpoint(1), milliseconds(1000));
     run(milliseconds(60));
-    std::this_thread::sleep_for(order_carrier::max_pause + milliseconds(100));
+    std::this_thread::sleep_for(service::pause_detector::max_pause +
+                                milliseconds(100));
     start(make_endpoint(2));
     run(milliseconds(30));
     BOOST_TEST(vm.endpoints.starts.empty());
--- a/tests/service/request_router_test.cpp
+++ b/tests/service/request_router_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace eelgrasslever;
@@ -25,14 +26,14 @@
 /// A VM with its own store, so that each test can make either store fail.
 struct vm {
     vm(kernel::loop& loop, std::map<std::string, vm*>& vms, std::string name)
-        : address(std::move(name)), store(loop), monitored(store),
+        : address(std::move(name)), store(loop), monitored(store), pauses(loop),
           committer(std::make_shared<coordination::committer>(
               loop, monitored, base::milliseconds(1))),
           job_service(std::make_shared<cluster::job_service>(
               monitored, job_view, [this] { return view_time; }, committer)) {
         vms[address] = this;
         router = std::make_shared<service::request_router>(
-            loop, *job_service, job_view, monitored,
+            loop, *job_service, job_view, monitored, pauses,
             [this, &vms, &loop](const std::string& to,
                                 const wire::message& content) {
                 loop.defer([this, &vms, to, content] {
@@ -66,6 +67,7 @@
     std::optional<base::instant> view_time{base::monotonic_now()};
     scripted_store store;
     coordination::monitored_store monitored;
+    service::pause_detector pauses;
     cluster::job_view job_view;
     std::shared_ptr<coordination::committer> committer;
     std::shared_ptr<cluster::job_service> job_service;
@@ -251,6 +253,27 @@
     BOOST_TEST(peer.store.entries().size() == 1u);
 }
 
+// Guards against a job that runs for nobody: a peer that did not run for a
+// while stored it after the sender had given it up.
+BOOST_AUTO_TEST_CASE(a_peer_that_was_paused_does_not_store_a_job) {
+    workload::job job;
+    job.id = "j1";
+    job.queue.name = "q";
+    job.steps.emplace_back();
+    wire::job_request request;
+    request.id = job.id;
+    request.job = workload::encode(job);
+    request.wait = client_timeout;
+    test::run_loop(loop, reply_time);
+    std::this_thread::sleep_for(service::request_router::peer_timeout);
+    peer.router->on_request("local", request);
+    test::run_loop(loop, 2 * reply_time);
+    BOOST_TEST(peer.store.entries().empty());
+    peer.router->on_request("local", request);
+    test::run_loop(loop, reply_time);
+    BOOST_TEST(peer.store.entries().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(relay_without_a_response_is_reported_as_uncertain) {
     local.store.default_reply = {status::refused, false};
     probe_local_store();
@@ -617,6 +640,7 @@
     auto start_process = [&] {
         auto router = std::make_shared<service::request_router>(
             loop, *local.job_service, local.job_view, local.monitored,
+            local.pauses,
             [&queries](const std::string&, const wire::message& content) {
                 queries.push_back(std::get<wire::job_request>(content).query);
             },
