Committer: proposals with a common key go into different transactions

Callers saw, by reading: a submission and a cancellation of its id that reach one VM within 10 ms, or beside a slow store, share a transaction. The conditions of all hold before any change, so that both succeed and the store hasn't ordered them; the rows of the condition were there twice, too. The same held for two submissions of one id. The header asked callers to avoid it, which clients decide.

Change: a proposal that uses a key of the batch waits for the next transaction.

Test: proposals_with_a_common_key_are_ordered; without the change both proposals succeed, in one transaction.

--- a/include/eelgrasslever/coordination/committer.hpp
+++ b/include/eelgrasslever/coordination/committer.hpp
@@ -31,7 +31,8 @@
     std::function<void(const commit_outcome&)> done;
 };
 
-/// Proposals that are pending at the same time must not use the same keys.
+/// Proposals that use a common key are sent in different transactions, so that
+/// the store orders them: in one, the conditions of all hold before any change.
 class committer : public std::enable_shared_from_this<committer> {
   public:
     /// @param min_interval shortest time between two transactions. Proposals
--- a/src/coordination/committer.cpp
+++ b/src/coordination/committer.cpp
@@ -27,6 +27,24 @@
     return present == expected.revision;
 }
 
+bool uses_key(const transaction& change, const std::string& key) {
+    auto names_it = [&](const auto& row) { return row.key == key; };
+    return std::any_of(change.conditions.begin(), change.conditions.end(),
+                       names_it) ||
+           std::any_of(change.puts.begin(), change.puts.end(), names_it) ||
+           std::any_of(change.removals.begin(), change.removals.end(),
+                       [&](const auto& removed) { return removed == key; });
+}
+
+bool share_key(const transaction& a, const transaction& b) {
+    auto is_shared = [&](const auto& row) { return uses_key(b, row.key); };
+    return std::any_of(a.conditions.begin(), a.conditions.end(), is_shared) ||
+           std::any_of(a.puts.begin(), a.puts.end(), is_shared) ||
+           std::any_of(
+               a.removals.begin(), a.removals.end(),
+               [&](const auto& removed) { return uses_key(b, removed); });
+}
+
 } // namespace
 
 committer::committer(kernel::loop& owner, store& store,
@@ -87,7 +105,10 @@
         }
         const transaction& addition = next.proposal.change;
         if (change.entry_count() + addition.entry_count() >
-            max_transaction_entries) {
+                max_transaction_entries ||
+            std::any_of(batch.begin(), batch.end(), [&](const auto& queued) {
+                return share_key(addition, queued.proposal.change);
+            })) {
             break;
         }
         auto append = [](auto& to, const auto& from) {
--- a/src/service/cluster_service_effects.cpp
+++ b/src/service/cluster_service_effects.cpp
@@ -234,7 +234,8 @@
     if (!m_scheduler) {
         return;
     }
-    // Proposals that are pending together must not use the same keys.
+    // The records that the pass before is about to remove are still in the
+    // view.
     if (m_removals_pending > 0) {
         return;
     }
--- a/tests/coordination/committer_test.cpp
+++ b/tests/coordination/committer_test.cpp
@@ -63,6 +63,19 @@
     }
 }
 
+// Guards against a submission and a cancellation of the same id that both
+// succeed, as neither sees the other within one transaction.
+BOOST_AUTO_TEST_CASE(proposals_with_a_common_key_are_ordered) {
+    auto first = create("a");
+    auto again = create("a");
+    auto other = create("b");
+    test::run_loop(loop, settle_time);
+    BOOST_TEST((first->status == status::ok));
+    BOOST_TEST((again->status == status::conflict));
+    BOOST_TEST((other->status == status::ok));
+    BOOST_TEST(store.commit_count >= 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_conflict_does_not_affect_other_proposals) {
     auto first = create("a");
     test::run_loop(loop, settle_time);
