--- a/review/platform_cell/cell.cpp
+++ b/review/platform_cell/cell.cpp
@@ -118,6 +118,9 @@
     for (std::thread& each : m_removals) {
         each.join();
     }
+    if (m_late_thread.joinable()) {
+        m_late_thread.join();
+    }
     end_members();
     m_workers.clear();
     if (m_advice) {
@@ -196,6 +199,7 @@
         return false;
     }
     configure(queues);
+    m_late_thread = std::thread([this] { carry_out_late_orders(); });
     return true;
 }
 
@@ -326,19 +330,80 @@
     options.zone = zone_of(static_cast<int>(m_workers.size()));
     options.rack = rack;
     options.cpu = cpu;
+    options.tells_life = m_tells_lives;
+    if (m_tells_lives) {
+        options.postpone = [this](const http_request& request) {
+            return postpone(request);
+        };
+    }
+    return add_worker(std::move(options), port);
+}
+
+worker* cell::restart(const worker& crashed) {
+    return add_worker(crashed.options(), crashed.port());
+}
+
+worker* cell::add_worker(worker_options options, int port) {
     auto added = std::make_unique<worker>(
         m_network + ".150", port, options, *m_store,
         [this](const run_event& event) { observe(event); });
     if (!added->open()) {
         return nullptr;
     }
-    note("worker " + options.id + " of " + service + ", " +
-         std::to_string(cpu) + " cpu, rack " + rack);
+    note("worker " + options.id + " of " + options.service + " is up, " +
+         std::to_string(options.cpu) + " cpu, rack " + options.rack);
     std::lock_guard lock(m_mutex);
     m_workers.push_back(std::move(added));
     return m_workers.back().get();
 }
 
+bool cell::postpone(const http_request& request) {
+    constexpr int min_delay_ms = 2000;
+    constexpr int max_delay_ms = 12'000;
+    std::lock_guard lock(m_mutex);
+    if (std::uniform_real_distribution<>(0.0, 1.0)(m_random) >= m_late_share) {
+        return false;
+    }
+    milliseconds delay(
+        std::uniform_int_distribution<>(min_delay_ms, max_delay_ms)(m_random));
+    m_late_orders.emplace(steady_clock::now() + delay, request);
+    return true;
+}
+
+void cell::carry_out_late_orders() {
+    constexpr milliseconds period{2};
+    std::unique_lock lock(m_mutex);
+    while (!m_ending.wait_for(lock, period, [this] { return m_is_ending; })) {
+        while (!m_late_orders.empty() &&
+               m_late_orders.begin()->first <= steady_clock::now()) {
+            http_request order =
+                m_late_orders.extract(m_late_orders.begin()).mapped();
+            worker* addressed = nullptr;
+            for (const auto& each : m_workers) {
+                if (each->is_up() &&
+                    each->options().id ==
+                        order.headers["x-eelgrasslever-target-instance"]) {
+                    addressed = each.get();
+                }
+            }
+            lock.unlock();
+            if (order.path == "/hold") {
+                // Its wait is over.
+                json body = json::parse(order.body);
+                body.erase("waitMs");
+                order.body = body.dump();
+            }
+            if (addressed != nullptr) {
+                http_reply reply = addressed->carry_out(order);
+                note("late " + order.path + " " + order.body + " at " +
+                     addressed->options().id + ": " +
+                     std::to_string(reply.status));
+            }
+            lock.lock();
+        }
+    }
+}
+
 std::vector<worker*> cell::workers() {
     std::lock_guard lock(m_mutex);
     std::vector<worker*> out;
@@ -357,9 +422,15 @@
                               [this] { return m_is_ending; })) {
             return;
         }
+        bool is_back = std::any_of(
+            m_workers.begin(), m_workers.end(), [&](const auto& it) {
+                return it->is_up() && "servers/" + it->options().id == key;
+            });
         lock.unlock();
-        m_store->remove(key);
-        note("entry " + key + " is removed");
+        if (!is_back) {
+            m_store->remove(key);
+            note("entry " + key + " is removed");
+        }
     });
 }
 
--- a/review/platform_cell/cell.hpp
+++ b/review/platform_cell/cell.hpp
@@ -8,6 +8,7 @@
 #include "store.hpp"
 #include "worker.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdio>
@@ -16,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -71,6 +73,13 @@
     /// @param port 0: a free one.
     worker* add_worker(const std::string& service, const std::string& rack,
                        int cpu, int port = 0);
+    /// Starts a crashed worker again, under its id and at its address.
+    worker* restart(const worker& crashed);
+    /// Lets the workers that are added later tell their lives.
+    void tell_lives() { m_tells_lives = true; }
+    /// Share of the orders to workers that get no answer from now on and are
+    /// carried out 2 to 12 s later, by the life that the worker has then.
+    void set_late_share(double share) { m_late_share = share; }
     [[nodiscard]] std::vector<worker*> workers();
     /// Crashes a worker. The platform removes its entry after three silent
     /// heartbeats.
@@ -125,6 +134,16 @@
     std::vector<member> m_members;
     std::vector<run_event> m_events;
     std::map<std::string, std::vector<step>> m_jobs;
+    worker* add_worker(worker_options options, int port);
+    [[nodiscard]] bool postpone(const http_request& request);
+    void carry_out_late_orders();
+
+    bool m_tells_lives{false};
+    std::atomic<double> m_late_share{0.0};
+    std::mt19937 m_random{1};
+    std::multimap<std::chrono::steady_clock::time_point, http_request>
+        m_late_orders;
+    std::thread m_late_thread;
     std::condition_variable m_ending;
     bool m_is_ending{false};
     std::vector<std::thread> m_removals; ///< of the entries of crashed workers
--- a/review/platform_cell/worker.cpp
+++ b/review/platform_cell/worker.cpp
@@ -16,6 +16,8 @@
 /// From the start of a task that lasts until it is at work.
 constexpr milliseconds startup_time{300};
 constexpr std::int64_t first_clock_ms = 480'000;
+/// How long a call without an answer is left open.
+constexpr milliseconds silence{3000};
 
 std::optional<milliseconds> read_time(const std::string& payload,
                                       const std::string& name) {
@@ -42,6 +44,9 @@
 
 bool worker::open() {
     m_born = steady_clock::now();
+    m_born_ms = std::chrono::duration_cast<milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count();
     m_is_up = true;
     if (!m_server->open()) {
         m_is_up = false;
@@ -88,31 +93,38 @@
 
 void worker::write_entry(const char* state) {
     m_registry.put("servers/" + m_options.id,
-                   json{{"service", m_options.service},
-                        {"address", m_server->address()},
-                        {"zone", m_options.zone},
-                        {"version", "v1"},
-                        {"slots", 8},
-                        {"state", state},
-                        {"warmupLeftMs", 0},
-                        {"capacity",
-                         {{"cpu", m_options.cpu},
-                          {"memMb", m_options.memory_mb},
-                          {"gpu", 0}}},
-                        {"labels", {m_options.kind, m_options.rack}},
-                        {"clockMs", clock_ms()},
-                        {"seq", ++m_sequence}}
-                       .dump());
+                   encode({{"service", m_options.service},
+                           {"address", m_server->address()},
+                           {"zone", m_options.zone},
+                           {"version", "v1"},
+                           {"slots", 8},
+                           {"state", state},
+                           {"warmupLeftMs", 0},
+                           {"capacity",
+                            {{"cpu", m_options.cpu},
+                             {"memMb", m_options.memory_mb},
+                             {"gpu", 0}}},
+                           {"labels", {m_options.kind, m_options.rack}},
+                           {"clockMs", clock_ms()},
+                           {"seq", ++m_sequence}}));
 }
 
 std::int64_t worker::clock_ms() const {
-    return first_clock_ms + std::chrono::duration_cast<milliseconds>(
-                                steady_clock::now() - m_born)
-                                .count();
+    return (m_options.tells_life ? 0 : first_clock_ms) +
+           std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                    m_born)
+               .count();
+}
+
+std::string worker::encode(json reply) const {
+    if (m_options.tells_life) {
+        reply["born"] = m_born_ms;
+    }
+    return reply.dump();
 }
 
 http_reply worker::refuse(const char* reason) const {
-    return {409, json{{"clockMs", clock_ms()}, {"reason", reason}}.dump()};
+    return {409, encode({{"clockMs", clock_ms()}, {"reason", reason}})};
 }
 
 bool worker::is_fenced(std::uint64_t token) {
@@ -142,7 +154,7 @@
     }
     execution ended = found->second;
     m_running.erase(found);
-    m_ends.push_back({++m_last_end, task, ended.run, how});
+    m_ends.push_back({++m_last_end, task, ended.run, how, false});
     m_highest_ended[task] = std::max(m_highest_ended[task], ended.run);
     report(task, ended, how);
     m_changed.notify_all();
@@ -153,6 +165,9 @@
     while (m_is_up) {
         auto now = steady_clock::now();
         bool is_lapsed = clock_ms() > m_deadline;
+        for (end& it : m_ends) {
+            it.is_lapsed |= is_lapsed;
+        }
         std::vector<std::pair<std::string, std::string>> ended;
         for (const auto& [task, run] : m_running) {
             auto age = now - run.started;
@@ -177,6 +192,15 @@
     if (request.path == "/healthz") {
         return {200, "{}"};
     }
+    if (m_options.postpone && m_options.postpone(request)) {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, silence, [this] { return !m_is_up; });
+        return {};
+    }
+    return carry_out(request);
+}
+
+http_reply worker::carry_out(const http_request& request) {
     auto target = request.headers.find("x-eelgrasslever-target-instance");
     if (target != request.headers.end() && target->second != m_options.id) {
         return {421, "{}"};
@@ -226,7 +250,7 @@
         m_running[task] = begun;
         report(task, begun, "start");
     }
-    return {200, json{{"clockMs", clock_ms()}}.dump()};
+    return {200, encode({{"clockMs", clock_ms()}})};
 }
 
 http_reply worker::stop(const std::string& body) {
@@ -243,7 +267,7 @@
         !found->second.stops_at) {
         found->second.stops_at = steady_clock::now() + stop_duration;
     }
-    return {200, json{{"clockMs", clock_ms()}}.dump()};
+    return {200, encode({{"clockMs", clock_ms()}})};
 }
 
 http_reply worker::hold(const std::string& body) {
@@ -257,7 +281,14 @@
     }
     extend(in.value("deadlineMs", std::int64_t{0}));
     auto seen = in.value("seenUpto", std::uint64_t{0});
-    std::erase_if(m_ends, [&](const end& it) { return it.number <= seen; });
+    std::erase_if(m_ends, [&](const end& it) {
+        bool is_noted = it.number <= seen;
+        if (is_noted && it.how == "done" && !it.is_lapsed) {
+            m_observe({steady_clock::now(), m_options.id, it.task, it.run,
+                       "noted", ""});
+        }
+        return is_noted;
+    });
     while (m_is_up && m_ends.empty() && steady_clock::now() < until) {
         m_changed.wait_until(lock, until);
     }
@@ -285,10 +316,9 @@
         }
         ended.push_back({it.number, it.task, it.run, it.how, ""});
     }
-    return {200, json{{"clockMs", clock_ms()},
-                      {"running", std::move(running)},
-                      {"ended", std::move(ended)}}
-                     .dump()};
+    return {200, encode({{"clockMs", clock_ms()},
+                         {"running", std::move(running)},
+                         {"ended", std::move(ended)}})};
 }
 
 } // namespace review::cell
--- a/review/platform_cell/worker.hpp
+++ b/review/platform_cell/worker.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <thread>
@@ -27,7 +28,9 @@
     std::string worker;
     std::string task;
     int run{0};
-    std::string what; ///< "start", or how the run ended
+    /// "start", how the run ended, or "noted" when its end `done` is taken note
+    /// of with no lapse of the worker's lease between the two.
+    std::string what;
     std::string payload;
 };
 
@@ -40,7 +43,11 @@
     int cpu{16000};
     int memory_mb{65536};
     std::chrono::milliseconds max_hold{6000};
-    std::chrono::milliseconds gang_timeout{3000};
+    /// Says when its life began, and counts its clock from there.
+    bool tells_life{false};
+    /// Takes an order that gets no answer and is carried out later. @return
+    /// whether it takes this one; empty: all orders are answered.
+    std::function<bool(const http_request&)> postpone;
 };
 
 class worker {
@@ -72,6 +79,8 @@
         std::string payload;
     };
     [[nodiscard]] std::vector<live_run> running();
+    /// Carries out an order, also one that was postponed.
+    http_reply carry_out(const http_request& request);
 
   private:
     using instant = std::chrono::steady_clock::time_point;
@@ -89,6 +98,7 @@
         std::string task;
         int run{0};
         std::string how;
+        bool is_lapsed{false}; ///< the worker's lease has lapsed since
     };
 
     http_reply handle(const http_request& request);
@@ -106,6 +116,7 @@
     void report(const std::string& task, const execution& run,
                 const std::string& what);
     void write_entry(const char* state);
+    [[nodiscard]] std::string encode(nlohmann::json reply) const;
 
     worker_options m_options;
     store& m_registry;
@@ -119,6 +130,7 @@
     std::uint64_t m_highest_token{0};
     std::int64_t m_deadline{0};
     instant m_born{};
+    std::int64_t m_born_ms{0}; ///< since 1970
     int m_sequence{0};
     std::atomic<bool> m_is_up{false};
     std::thread m_clock;
