--- a/review/platform_cell/cell.cpp
+++ b/review/platform_cell/cell.cpp
@@ -336,14 +336,14 @@
             return postpone(request);
         };
     }
-    return add_worker(std::move(options), port);
+    return add_worker(options, port);
 }
 
 worker* cell::restart(const worker& crashed) {
     return add_worker(crashed.options(), crashed.port());
 }
 
-worker* cell::add_worker(worker_options options, int port) {
+worker* cell::add_worker(const worker_options& options, int port) {
     auto added = std::make_unique<worker>(
         m_network + ".150", port, options, *m_store,
         [this](const run_event& event) { observe(event); });
--- a/review/platform_cell/cell.hpp
+++ b/review/platform_cell/cell.hpp
@@ -134,7 +134,7 @@
     std::vector<member> m_members;
     std::vector<run_event> m_events;
     std::map<std::string, std::vector<step>> m_jobs;
-    worker* add_worker(worker_options options, int port);
+    worker* add_worker(const worker_options& options, int port);
     [[nodiscard]] bool postpone(const http_request& request);
     void carry_out_late_orders();
 
