Scheduler: accepted jobs follow their queue to another service

Cause: a job's record keeps its queue's policy as it was at acceptance, and nothing compared it with a later version of the configuration. The leader's log of the case shows version 8 in force on the leader, and the waiting step examined every 1.5 s with the same four candidates of the former service before and after it (admitted=4, unused_slots=0, not deferred). A new leader and a task that is started again read the same record; `priority` and `advice` of waiting work came from it as well.

Change: `workload::update_policy` settles for each field what a later version does to accepted work. Service, priority and advice follow the queue; attempts, stretch and target latency stay as accepted. The scheduler works with the policy in force (`job_execution::queue`), which `scheduler::set_queues` replaces when the configuration changes and which a new leader applies to the records that it reads. Steps that wait are queued by the new policy; what their search had found is discarded if other endpoints may run them, and calls for advice under way only free their channels. A placement that is being stored is given up if the queue has moved. Runs go on where they are. Records name the version of the configuration that their policy is from, so that a leader with an older table doesn't apply it. `step_waits` names the service.

Why it works: the service is looked up in the newest configuration that the leader knows at each placement, not in a copy, and each way into the scheduler (acceptance, takeover, requeue, change) uses the same function.

--- a/include/eelgrasslever/cluster/advice_call_pool.hpp
+++ b/include/eelgrasslever/cluster/advice_call_pool.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] std::size_t idle_channel_count(base::instant now) const;
 
     struct pending_call {
-        task_key step;
+        task_key step; ///< empty if it was detached
         std::vector<std::string> candidates;
         std::string channel;
         base::instant asked_at{};
@@ -62,6 +62,9 @@
     /// @return the call, or nothing if it has expired before.
     std::optional<pending_call> finish_call(std::uint64_t query, bool answered,
                                             base::instant now);
+    /// Lets the outstanding calls for a step only free their channels when they
+    /// end. They are reported without a step.
+    void detach_step(const task_key& step);
     /// Removes the calls that got no reply in time.
     std::vector<pending_call> take_expired_calls(base::instant now);
     admission_ratio& admission_ratio_of(const std::string& queue) {
--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -99,6 +99,9 @@
     [[nodiscard]] bool is_complete() const {
         return done_count == static_cast<int>(tasks.size());
     }
+    /// Forgets what the search for endpoints has found, as other endpoints may
+    /// run the step from now on.
+    void forget_search();
 };
 
 struct occurrence_execution {
@@ -119,6 +122,14 @@
                   base::instant now, base::milliseconds age);
 
     [[nodiscard]] const workload::job& job() const { return *m_job; }
+    /// @return the policy in force for the job; that of its record holds only
+    /// until a later version of the configuration applies to it.
+    [[nodiscard]] const workload::queue_policy& queue() const {
+        return m_queue;
+    }
+    /// Replaces the policy in force, and with it the latest starts. The
+    /// objective stays as accepted.
+    void set_queue(workload::queue_policy policy);
     [[nodiscard]] const workload::progress& progress() const {
         return m_progress;
     }
@@ -222,6 +233,7 @@
                            task_execution& task);
 
     std::shared_ptr<const workload::job> m_job;
+    workload::queue_policy m_queue; ///< in force
     workload::progress m_progress;
     int m_run_base{0};
     std::uint64_t m_version{0};
--- a/include/eelgrasslever/cluster/queue_table.hpp
+++ b/include/eelgrasslever/cluster/queue_table.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,11 @@
     [[nodiscard]] const queue_route* find(const std::string& host,
                                           const std::string& path) const;
 
+    /// @return the policy of the queue with this name, or nullptr if there is
+    /// none or its routes differ in their policies.
+    [[nodiscard]] const workload::queue_policy*
+    find_policy(const std::string& queue) const;
+
     /// @return the workspaces; never nullptr.
     [[nodiscard]] const std::shared_ptr<const workspace::directory>&
     workspaces() const {
@@ -60,6 +66,8 @@
     std::size_t m_route_count{0};
     /// By host, then by prefix.
     std::map<std::string, std::map<std::string, queue_route>> m_routes;
+    /// By the queue's name; unset if its routes differ in their policies.
+    std::map<std::string, std::optional<workload::queue_policy>> m_policies;
     std::shared_ptr<const workspace::directory> m_workspaces{
         std::make_shared<const workspace::directory>()};
 };
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -16,6 +16,7 @@
 #include "eelgrasslever/cluster/limited_steps.hpp"
 #include "eelgrasslever/cluster/lost_endpoints.hpp"
 #include "eelgrasslever/cluster/placement_statistics.hpp"
+#include "eelgrasslever/cluster/queue_table.hpp"
 #include "eelgrasslever/cluster/service_shares.hpp"
 #include "eelgrasslever/cluster/step_queue.hpp"
 #include "eelgrasslever/observe/log.hpp"
@@ -87,6 +88,12 @@
     /// limit go on; nothing is started beside them.
     void set_workspaces(std::shared_ptr<const workspace::directory> workspaces);
 
+    /// Applies the policies of the queues to all jobs, also to those that were
+    /// accepted under an earlier version (`workload::update_policy`). What runs
+    /// goes on; what waits is placed by the new policy. The jobs of a queue
+    /// that is not in @p queues keep the policy that they have.
+    void set_queues(std::shared_ptr<const queue_table> queues);
+
     // Replies to orders and calls.
     void on_started(const std::string& endpoint, const start_order& order,
                     const order_reply& reply, base::instant now);
@@ -169,6 +176,14 @@
     /// Queues the steps again for which their workspaces' limits leave room.
     void resume_limited_steps();
 
+    // Queues.
+    /// @return the policy that the latest known configuration gives the job.
+    [[nodiscard]] workload::queue_policy
+    policy_in_force(const tracked_job& job) const;
+    /// Replaces the policy of a job, and queues its waiting steps by it.
+    /// @return the number of tasks that wait.
+    std::size_t apply_policy(tracked_job& job, workload::queue_policy policy);
+
     // Jobs.
     void open_due_occurrences(base::instant now);
     void unlock_ready_steps(tracked_job& job, base::instant now);
@@ -532,6 +547,7 @@
     base::instant m_last_sweep_at{};
     step_queue m_ready; ///< steps with tasks that wait
     limited_steps m_limited_steps;
+    std::shared_ptr<const queue_table> m_queues;
     std::shared_ptr<const workspace::directory> m_workspaces;
     workspace::usage m_usage;
     workspace::arrivals m_arrivals;
--- a/include/eelgrasslever/service/cluster_service.hpp
+++ b/include/eelgrasslever/service/cluster_service.hpp
@@ -161,6 +161,8 @@
     void remove_endpoint(const std::string& name, base::instant now);
     void remove_lapsed_endpoints(base::instant now);
     void on_configuration_change(const coordination::key_value& change);
+    /// Passes the configuration to the scheduler, if this VM leads.
+    void configure_scheduler();
     /// @return what this VM tells the others about itself.
     [[nodiscard]] std::string member_record() const;
     void on_member_change(const coordination::key_value& change);
@@ -247,7 +249,7 @@
     external_records m_external_records;
     observe::metrics& m_metrics;
     cluster::job_view m_job_view;
-    std::unique_ptr<cluster::queue_table> m_queues;
+    std::shared_ptr<const cluster::queue_table> m_queues;
     /// Watches all keys. Runs only while this VM follows the jobs, or until the
     /// cell watchers have taken over from it.
     std::shared_ptr<coordination::prefix_watcher> m_cluster_watcher;
--- a/include/eelgrasslever/workload/job.hpp
+++ b/include/eelgrasslever/workload/job.hpp
@@ -37,23 +37,36 @@
                                      call_time_per_candidate *
                                      static_cast<std::int64_t>(candidates));
     }
+    bool operator==(const advice_policy&) const = default;
 };
 
-/// The policy of the queue that a job was submitted to, as it was when the job
-/// was accepted. Fields marked as stored only are kept in the record but not
-/// used for scheduling.
+/// The policy of a queue in one version of the configuration.
 struct queue_policy {
     std::string name;
     std::string service; ///< only endpoints of this service run the job
     int priority{0};     ///< 0 is the highest
     /// The job fails once a task, or a gang, has failed this many times.
     int max_attempts{1};
-    double stretch{1.0};                  ///< stored only
-    base::milliseconds target_latency{0}; ///< stored only
-    std::optional<advice_policy> advice;  ///< unset: no advice is needed
+    /// The job should end within this multiple of the duration of its longest
+    /// chain of steps, plus `target_latency`.
+    double stretch{1.0};
+    base::milliseconds target_latency{0};
+    std::optional<advice_policy> advice; ///< unset: no advice is needed
+    bool operator==(const queue_policy&) const = default;
 };
 
-/// A number of identical tasks; "stored only" as in `queue_policy`.
+/// Applies a later version of a queue's policy to a job that was accepted
+/// before. Where and in which order the queue is served follows the later
+/// version: `service`, `priority` and `advice`. What the caller was promised
+/// stays as accepted: `max_attempts`, `stretch` and `target_latency`. The
+/// number of attempts decides whether a job has failed, which can't be taken
+/// back, so that it must not depend on which version a leader knows.
+/// @return the policy of the job from now on.
+[[nodiscard]] queue_policy update_policy(const queue_policy& accepted,
+                                         const queue_policy& later);
+
+/// A number of identical tasks. Fields marked as stored only are kept in the
+/// record but not used for scheduling.
 struct step {
     int count{1};         ///< number of tasks
     base::resources need; ///< of one task; `slots` is not used
@@ -81,7 +94,10 @@
     std::string payload; ///< opaque; passed to the endpoint unchanged
     /// Whose limits and share the job counts against; empty: none.
     std::string workspace;
-    queue_policy queue;
+    queue_policy queue; ///< as it was when the job was accepted
+    /// Version of the configuration that `queue` is from. 0 in records of
+    /// product versions that did not store it.
+    std::uint64_t configuration_version{0};
     std::vector<step> steps;
     int repeat_count{0}; ///< number of occurrences; 0: one, due immediately
     std::chrono::sys_time<base::milliseconds> start_at{}; ///< of occurrence 0
--- a/include/eelgrasslever/workload/objective.hpp
+++ b/include/eelgrasslever/workload/objective.hpp
@@ -5,6 +5,7 @@
 
 #include "eelgrasslever/workload/job.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace eelgrasslever::workload {
@@ -14,6 +15,12 @@
 [[nodiscard]] std::vector<base::milliseconds>
 remaining_chain_durations(const job& value);
 
+/// Likewise, for steps of a queue with another advice policy than the one that
+/// the job was accepted with.
+[[nodiscard]] std::vector<base::milliseconds>
+remaining_chain_durations(const std::vector<step>& steps,
+                          const std::optional<advice_policy>& advice);
+
 /// @param chain_durations the result of `remaining_chain_durations`.
 /// @return the time from the job's due time to the end that its queue aims at.
 [[nodiscard]] base::milliseconds
--- a/src/cluster/advice_call_pool.cpp
+++ b/src/cluster/advice_call_pool.cpp
@@ -77,6 +77,14 @@
     return call;
 }
 
+void advice_call_pool::detach_step(const task_key& step) {
+    for (auto& [query, call] : m_pending) {
+        if (call.step == step) {
+            call.step = {};
+        }
+    }
+}
+
 std::vector<advice_call_pool::pending_call>
 advice_call_pool::take_expired_calls(base::instant now) {
     std::vector<std::uint64_t> expired;
--- a/src/cluster/job_execution.cpp
+++ b/src/cluster/job_execution.cpp
@@ -79,6 +79,14 @@
 
 } // namespace
 
+void step_execution::forget_search() {
+    advice = {};
+    room = {};
+    fruitless_since.reset();
+    beside_room_since.reset();
+    deferral = {};
+}
+
 bool occurrence_execution::is_complete() const {
     return std::all_of(steps.begin(), steps.end(),
                        [](const step_execution& s) { return s.is_complete(); });
@@ -87,13 +95,19 @@
 job_execution::job_execution(std::shared_ptr<const workload::job> job,
                              const workload::progress& recorded, int run_base,
                              base::instant now, base::milliseconds age)
-    : m_job(std::move(job)), m_progress(recorded), m_run_base(run_base),
-      m_first_seen_at(now), m_age_when_seen(age),
+    : m_job(std::move(job)), m_queue(m_job->queue), m_progress(recorded),
+      m_run_base(run_base), m_first_seen_at(now), m_age_when_seen(age),
       m_chain_durations(workload::remaining_chain_durations(*m_job)),
       m_objective(workload::latency_objective(*m_job, m_chain_durations)) {
     m_progress.queue = m_job->queue.name;
 }
 
+void job_execution::set_queue(workload::queue_policy policy) {
+    m_queue = std::move(policy);
+    m_chain_durations =
+        workload::remaining_chain_durations(m_job->steps, m_queue.advice);
+}
+
 bool job_execution::open_due_occurrences(
     std::chrono::sys_time<base::milliseconds> wall, base::instant now) {
     int total = std::max(1, m_job->repeat_count);
@@ -310,7 +324,7 @@
     } else {
         find_task(key)->failure_count = count;
     }
-    return count >= m_job->queue.max_attempts;
+    return count >= m_queue.max_attempts;
 }
 
 void job_execution::count_crash(const task_key& key, int run,
--- a/src/cluster/scheduler_advice.cpp
+++ b/src/cluster/scheduler_advice.cpp
@@ -97,8 +97,7 @@
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
     double admission_rate =
-        m_advice_calls.admission_ratio_of(job.execution->job().queue.name)
-            .value();
+        m_advice_calls.admission_ratio_of(job.execution->queue().name).value();
     std::vector<fit_candidate> candidates =
         find_candidates(job, rank, step, now,
                         spec.gang ? candidate_filter::unknown
@@ -155,7 +154,7 @@
     std::size_t min_candidates =
         rank.priority == 0 ? 0
         : spec.gang        ? (spare ? 0 : max_advice_candidates)
-                    : affordable_candidates(*job.execution->job().queue.advice);
+                    : affordable_candidates(*job.execution->queue().advice);
     double expected = 0.0;
     double expected_idle = 0.0;
     std::vector<fit_candidate> chosen;
@@ -209,8 +208,7 @@
         return true;
     }
     double admission_rate =
-        m_advice_calls.admission_ratio_of(job.execution->job().queue.name)
-            .value();
+        m_advice_calls.admission_ratio_of(job.execution->queue().name).value();
     int free = 0;
     int idle = 0;
     for (const fit_candidate& it : candidates) {
@@ -282,7 +280,7 @@
                                const std::vector<fit_candidate>& candidates,
                                std::vector<room_claim> claims,
                                base::instant now) {
-    const workload::queue_policy& queue = job.execution->job().queue;
+    const workload::queue_policy& queue = job.execution->queue();
     auto channel = m_advice_calls.idle_channel(now);
     if (candidates.empty() || !channel) {
         step.advice.next_call_at = now + no_candidate_pause;
@@ -343,7 +341,7 @@
     step->advice.calls_in_flight--;
     step->advice.claims.clear();
     step->room = {};
-    const workload::queue_policy& queue = job->execution->job().queue;
+    const workload::queue_policy& queue = job->execution->queue();
     m_effects.on_measured(latency_kind::advice, queue.name,
                           now - call->asked_at);
     if (!reply.answered || !queue.advice) {
--- a/src/cluster/scheduler_claims.cpp
+++ b/src/cluster/scheduler_claims.cpp
@@ -153,7 +153,7 @@
                        step_execution& step, int missing, base::instant now) {
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(rank.step)];
-    const auto& advice = job.execution->job().queue.advice;
+    const auto& advice = job.execution->queue().advice;
     double share = dominant_share(spec.need, m_usable_total) * missing;
     bool spare = has_spare_room();
     base::milliseconds patience =
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -316,7 +316,7 @@
         job->execution->job().steps[static_cast<std::size_t>(task.step)];
     // The members of a gang end together, whatever their endpoints' speeds.
     if (!spec.gang && !spec.long_running) {
-        m_speeds.add_run(endpoint.listing.id, job->execution->job().queue.name,
+        m_speeds.add_run(endpoint.listing.id, job->execution->queue().name,
                          spec.estimated_duration, ran);
     }
 }
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -57,6 +57,7 @@
     tracked_job& job = m_jobs[entry.job->id];
     job.execution = std::make_unique<job_execution>(
         entry.job, entry.progress, m_term.run_base, now, age_of(*entry.job));
+    job.execution->set_queue(policy_in_force(job));
     note_arrival(job);
     job.execution->open_due_occurrences(m_wall, now);
     inherit_placements(job, now);
@@ -213,7 +214,7 @@
         "job_begun",
         {{"job", id}, {"waited_ms", std::to_string(waited.count())}});
     m_effects.on_measured(latency_kind::wait_to_start,
-                          job->execution->job().queue.name, waited);
+                          job->execution->queue().name, waited);
     schedule_record(*job, now + first_start_record_delay);
 }
 
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -224,7 +224,7 @@
             if (width_statistics* counts = width_counts(rank).first) {
                 counts->became_overdue++;
             }
-            m_shares.add_missed(job->execution->job().queue.name,
+            m_shares.add_missed(job->execution->queue().name,
                                 waiting_share(rank), now);
         }
     }
@@ -236,7 +236,7 @@
     if (step == nullptr) {
         return {nullptr, nullptr};
     }
-    const std::string& queue = find_job(rank.job)->execution->job().queue.name;
+    const std::string& queue = find_job(rank.job)->execution->queue().name;
     int width = width_band(static_cast<int>(step->tasks.size()));
     return {&m_statistics.widths[{queue, width}], step};
 }
@@ -253,7 +253,7 @@
     }
     const workload::step& spec =
         job->execution->job().steps[static_cast<std::size_t>(rank.step)];
-    m_shares.add_started(job->execution->job().queue.name,
+    m_shares.add_started(job->execution->queue().name,
                          dominant_share(spec.need, m_usable_total) * spec.count,
                          now);
 }
@@ -264,7 +264,7 @@
     const workload::step& spec =
         execution.job().steps[static_cast<std::size_t>(step)];
     base::instant latest_start = execution.latest_start(occurrence, step);
-    base::milliseconds lead = m_shares.lead_of(execution.job().queue.name);
+    base::milliseconds lead = m_shares.lead_of(execution.queue().name);
     if (spec.gang) {
         lead += gathering_time(dominant_share(spec.need, m_usable_total) *
                                spec.count);
@@ -276,7 +276,7 @@
             ? base::instant::max()
             : execution.latest_useful_start(occurrence, step);
     // Surplus work doesn't use what is kept for urgent work.
-    int priority = execution.job().queue.priority;
+    int priority = execution.queue().priority;
     return {job.is_surplus,
             latest_start - lead,
             latest_start,
@@ -358,7 +358,7 @@
         return placement_outcome::limited;
     }
     // Most waiting steps can only wait for a reply; this is cheap for them.
-    bool only_waits = job.execution->job().queue.advice &&
+    bool only_waits = job.execution->queue().advice &&
                       step.advice.calls_in_flight > 0 &&
                       (!spec.gang || step.advice.admitted.empty()) &&
                       !has_ticket(step.advice, now);
@@ -416,15 +416,15 @@
 scheduler::find_candidates(const tracked_job& job, const step_rank& rank,
                            const step_execution& step, base::instant now,
                            candidate_filter filter) const {
-    const workload::job& job_spec = job.execution->job();
+    const workload::queue_policy& queue = job.execution->queue();
     const workload::step& step_spec =
-        job_spec.steps[static_cast<std::size_t>(rank.step)];
+        job.execution->job().steps[static_cast<std::size_t>(rank.step)];
     double kept_places = headroom_for(rank, step_spec.need, step) *
                          static_cast<double>(m_usable.size());
     std::vector<fit_candidate> result;
     auto consider = [&](const endpoint_state& endpoint) {
         m_statistics.endpoints_weighed++;
-        if (endpoint.listing.service != job_spec.queue.service ||
+        if (endpoint.listing.service != queue.service ||
             endpoint.is_on_trial(now)) {
             return;
         }
@@ -474,11 +474,10 @@
     };
     bool needs_ticket = filter == candidate_filter::with_ticket;
     bool known_only = needs_ticket || filter == candidate_filter::admitted;
-    if (job_spec.queue.advice && needs_ticket &&
-        step.advice.last_valid_until <= now) {
+    if (queue.advice && needs_ticket && step.advice.last_valid_until <= now) {
         return result;
     }
-    if (!job_spec.queue.advice) {
+    if (!queue.advice) {
         if (known_only) {
             result.reserve(m_usable.size());
             std::for_each(m_usable.begin(), m_usable.end(),
@@ -566,7 +565,7 @@
     if (missing == 0) {
         return placement_outcome::waiting;
     }
-    if (!job.execution->job().queue.advice) {
+    if (!job.execution->queue().advice) {
         return candidates.empty() ? placement_outcome::blocked
                                   : placement_outcome::waiting;
     }
@@ -727,8 +726,7 @@
     const workload::step& spec =
         job.execution->job().steps[static_cast<std::size_t>(key.step)];
     step_execution* step = job.execution->find_step(key.occurrence, key.step);
-    queue_statistics& counts =
-        m_statistics.queues[job.execution->job().queue.name];
+    queue_statistics& counts = m_statistics.queues[job.execution->queue().name];
     counts.tasks_placed++;
     allocation allocated;
     allocated.number = run;
@@ -777,14 +775,17 @@
     if (run.phase != allocation_phase::recording) {
         return;
     }
-    bool ticket_expired = job.execution->job().queue.advice.has_value() &&
-                          run.ticket_valid_until < now;
+    const workload::queue_policy& queue = job.execution->queue();
+    // The queue's policy may have changed since the placement.
+    bool may_run_there = endpoint.listing.service == queue.service;
+    bool ticket_expired =
+        queue.advice.has_value() && run.ticket_valid_until < now;
     // The endpoint may have shrunk since the placement.
     bool has_room = base::fits(endpoint.used, endpoint.listing.capacity);
     // The limit may have been lowered since.
     bool is_limited = m_usage.exceeds_limit(job.execution->job().workspace);
-    if (job.execution->has_ended() || ticket_expired || !has_room ||
-        is_limited || !is_usable(endpoint, now)) {
+    if (job.execution->has_ended() || !may_run_there || ticket_expired ||
+        !has_room || is_limited || !is_usable(endpoint, now)) {
         abandon_run(endpoint, key, now);
         return;
     }
--- a/src/cluster/scheduler_waits.cpp
+++ b/src/cluster/scheduler_waits.cpp
@@ -69,6 +69,7 @@
     };
     return {{"step", workload::to_string(
                          task_key{rank.job, rank.occurrence, rank.step, 0})},
+            {"service", job.execution->queue().service},
             {"waiting", text(step.waiting_count)},
             {"for_ms", text((now - *step.beside_room_since).count())},
             {"earlier_runs", text(earlier_runs)},
--- a/src/service/cluster_service.cpp
+++ b/src/service/cluster_service.cpp
@@ -283,10 +283,16 @@
          {"workspaces",
           std::to_string(next->workspaces()->policies().size())}});
     if (is_newer) {
-        m_queues = std::make_unique<cluster::queue_table>(*std::move(next));
-        if (m_scheduler) {
-            m_scheduler->set_workspaces(m_queues->workspaces());
-        }
+        m_queues =
+            std::make_shared<const cluster::queue_table>(*std::move(next));
+        configure_scheduler();
+    }
+}
+
+void cluster_service::configure_scheduler() {
+    if (m_scheduler && m_queues) {
+        m_scheduler->set_workspaces(m_queues->workspaces());
+        m_scheduler->set_queues(m_queues);
     }
 }
 
@@ -334,9 +340,7 @@
     m_progress_revisions.clear();
     m_scheduler =
         std::make_unique<cluster::scheduler>(*this, m_options.limits, term);
-    if (m_queues) {
-        m_scheduler->set_workspaces(m_queues->workspaces());
-    }
+    configure_scheduler();
     for (const auto& known : {m_former_leases, m_reported_leases}) {
         if (known) {
             m_scheduler->on_predecessor_leases(*known, now);
--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -131,6 +131,8 @@
     out.payload = in.value("payload", "");
     out.workspace = in.value("workspace", "");
     out.queue = decode_queue(in.at("queue"));
+    out.configuration_version =
+        in.value("configuration", out.configuration_version);
     for (const json& step : in.at("steps")) {
         out.steps.push_back(decode_step(step));
     }
@@ -200,6 +202,8 @@
 
 std::string encode(const job& value) {
     json out{{"queue", encode_queue(value.queue)}};
+    put_unless_default(out, "configuration", value.configuration_version,
+                       std::uint64_t{0});
     put_unless_default(out, "payload", value.payload, std::string());
     put_unless_default(out, "workspace", value.workspace, std::string());
     json steps = json::array();
--- a/src/workload/job.cpp
+++ b/src/workload/job.cpp
@@ -57,6 +57,15 @@
 
 } // namespace
 
+queue_policy update_policy(const queue_policy& accepted,
+                           const queue_policy& later) {
+    queue_policy result = accepted;
+    result.service = later.service;
+    result.priority = later.priority;
+    result.advice = later.advice;
+    return result;
+}
+
 std::string to_string(const task_key& key) {
     return key.job + "." + std::to_string(key.occurrence) + "." +
            std::to_string(key.step) + "." + std::to_string(key.index);
--- a/src/workload/objective.cpp
+++ b/src/workload/objective.cpp
@@ -13,15 +13,21 @@
 } // namespace
 
 std::vector<base::milliseconds> remaining_chain_durations(const job& value) {
-    base::milliseconds advice{0};
-    if (value.queue.advice) {
-        advice = value.queue.advice->call_duration(usual_advice_candidates);
+    return remaining_chain_durations(value.steps, value.queue.advice);
+}
+
+std::vector<base::milliseconds>
+remaining_chain_durations(const std::vector<step>& steps,
+                          const std::optional<advice_policy>& advice) {
+    base::milliseconds call{0};
+    if (advice) {
+        call = advice->call_duration(usual_advice_candidates);
     }
-    std::vector<base::milliseconds> result(value.steps.size());
+    std::vector<base::milliseconds> result(steps.size());
     // Steps depend on earlier steps only.
-    for (std::size_t i = value.steps.size(); i-- > 0;) {
-        result[i] += value.steps[i].estimated_duration + advice;
-        for (int earlier : value.steps[i].predecessors) {
+    for (std::size_t i = steps.size(); i-- > 0;) {
+        result[i] += steps[i].estimated_duration + call;
+        for (int earlier : steps[i].predecessors) {
             auto& before = result[static_cast<std::size_t>(earlier)];
             before = std::max(before, result[i]);
         }
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -17,12 +17,19 @@
 
 constexpr base::milliseconds second{1000};
 
+struct scenario_options {
+    /// Whether the jobs belong to workspaces, whose limits change. The seeds
+    /// play the same events with and without them.
+    bool workspaces{false};
+    /// Whether the endpoints belong to two services, and the queues' policies
+    /// change.
+    bool queue_changes{false};
+};
+
 class random_scenario {
   public:
-    /// @param with_workspaces whether the jobs belong to workspaces, whose
-    /// limits change. The seeds play the same events with and without them.
-    explicit random_scenario(std::uint64_t seed, bool with_workspaces = false)
-        : m_seed(seed), m_with_workspaces(with_workspaces), m_random(seed),
+    explicit random_scenario(std::uint64_t seed, scenario_options options = {})
+        : m_seed(seed), m_options(options), m_random(seed),
           m_fleet(seed, draw_faults()) {
         m_fleet.passes_leases_on = seed % 2 == 0;
     }
@@ -33,7 +40,7 @@
     };
 
     result run() {
-        for (int i = 0; i < 6; ++i) {
+        for (int i = 0; i < (m_options.queue_changes ? 8 : 6); ++i) {
             add_endpoint("e" + std::to_string(i));
         }
         m_fleet.task_duration = [this](const workload::task_key& key) {
@@ -41,11 +48,12 @@
                                                      std::to_string(key.step));
             return base::milliseconds(100 + h % 3000);
         };
-        m_fleet.admits = [](const workload::task_key& key,
-                            const std::string& id) {
+        m_fleet.admits = [this](const workload::task_key& key,
+                                const std::string& id) {
             // Half of the endpoints are always admitted, so that every job can
             // run.
-            return id < "e3" || std::hash<std::string>{}(key.job + id) % 3 != 0;
+            return id < "e3" || m_options.queue_changes ||
+                   std::hash<std::string>{}(key.job + id) % 3 != 0;
         };
         m_fleet.passes_leases_on = draw_below(2) == 0;
         m_fleet.crashed_endpoints_refuse = draw_below(2) == 0;
@@ -64,9 +72,15 @@
         };
         m_fleet.elect_leader();
         for (int turn = 0; turn < 60; ++turn) {
-            if (m_with_workspaces && turn % 15 == 0) {
+            if (m_options.workspaces && turn % 15 == 0) {
                 change_limits(turn);
             }
+            if (m_options.queue_changes && draw_below(6) == 0) {
+                change_queues();
+                submit(turn);
+                submit(turn);
+                submit(turn);
+            }
             inject_event(turn);
             m_fleet.run_for(base::milliseconds(200));
         }
@@ -87,7 +101,10 @@
                 m_fleet.list_endpoint(id);
             }
         }
-        m_fleet.run_until_jobs_end(180 * second);
+        // Tasks that crash their endpoints are tried one after another, and
+        // there are more of them with queue changes.
+        m_fleet.run_until_jobs_end((m_options.queue_changes ? 900 : 180) *
+                                   second);
         return {m_fleet.violations(), m_fleet.describe_open_jobs()};
     }
 
@@ -105,11 +122,17 @@
         base::resources capacity;
         capacity.cpu_milli = 8000;
         capacity.memory_mb = 32'000;
-        m_fleet.add_endpoint(id, capacity).clock_percent =
+        m_fleet.add_endpoint(id, capacity, service_of(id)).clock_percent =
             98 + static_cast<int>(draw_below(3));
         m_alive.push_back(id);
     }
 
+    [[nodiscard]] std::string service_of(const std::string& endpoint) const {
+        return m_options.queue_changes && std::stoi(endpoint.substr(1)) % 2 == 1
+                   ? "t"
+                   : "s";
+    }
+
     // A new endpoint that admits the same steps replaces it, so that every job
     // can run.
     void end_endpoint(std::size_t place) {
@@ -237,12 +260,46 @@
                 base::milliseconds(2500)};
         }
         job.payload += std::to_string(turn);
-        if (m_with_workspaces) {
+        if (m_options.workspaces) {
             job.workspace = m_jobs % 4 == 0 ? "w1" : "w0";
         }
+        if (m_options.queue_changes && !m_policies.empty()) {
+            // The VM that accepts the job may know another version than the
+            // leader.
+            auto version = m_policies.size() - draw_below(2);
+            job.configuration_version = std::max<std::size_t>(version, 1);
+            job.queue = m_policies[job.configuration_version - 1][m_jobs % 3];
+        }
         m_fleet.submit(job);
     }
 
+    workload::queue_policy draw_policy(std::size_t number) {
+        workload::queue_policy policy = make_job("", 1, 0).queue;
+        policy.name = "q" + std::to_string(number);
+        policy.service = draw_below(2) == 0 ? "s" : "t";
+        policy.priority = static_cast<int>(draw_below(3));
+        policy.max_attempts = 2 + static_cast<int>(draw_below(3));
+        if (draw_below(2) == 0) {
+            policy.advice = workload::advice_policy{
+                base::milliseconds(20), std::chrono::microseconds(100),
+                base::milliseconds(2500)};
+        }
+        return policy;
+    }
+
+    // The leader knows the version before the last that was drawn, as others
+    // may have read the next one before it. Each queue is absent at times.
+    void change_queues() {
+        if (!m_policies.empty()) {
+            auto known = m_policies.back();
+            if (draw_below(4) == 0) {
+                known.pop_back();
+            }
+            m_fleet.set_queues(known);
+        }
+        m_policies.push_back({draw_policy(0), draw_policy(1), draw_policy(2)});
+    }
+
     // Each gang fits within the lower limit: 6 tasks of 3 cores.
     void change_limits(int turn) {
         bool lowered = turn % 30 == 15;
@@ -255,10 +312,12 @@
     }
 
     std::uint64_t m_seed;
-    bool m_with_workspaces;
+    scenario_options m_options;
     std::mt19937_64 m_random;
     fake_fleet m_fleet;
     std::vector<std::string> m_alive; ///< ids of the endpoints
+    /// Policies of the queues in each version of the configuration.
+    std::vector<std::vector<workload::queue_policy>> m_policies;
     std::uint64_t m_jobs{0};
 };
 
@@ -275,7 +334,23 @@
     std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
     std::uint64_t count = from_environment("EEL_SEEDS", 20);
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        auto result = random_scenario(seed, true).run();
+        auto result = random_scenario(seed, {.workspaces = true}).run();
+        for (const std::string& violation : result.violations) {
+            BOOST_ERROR("seed " + std::to_string(seed) + ": " + violation);
+        }
+        BOOST_TEST(result.open_jobs == "",
+                   "seed " << seed << ": not ended: " << result.open_jobs);
+    }
+}
+
+// Jobs waited for endpoints of their queue's former service, or were started
+// there, beside takeovers, losses and late orders.
+BOOST_AUTO_TEST_CASE(
+    random_scenarios_place_jobs_by_their_queues_newest_policy) {
+    std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
+    std::uint64_t count = from_environment("EEL_SEEDS", 40);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        auto result = random_scenario(seed, {.queue_changes = true}).run();
         for (const std::string& violation : result.violations) {
             BOOST_ERROR("seed " + std::to_string(seed) + ": " + violation);
         }
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -105,12 +105,13 @@
 }
 
 fake_endpoint& fake_fleet::add_endpoint(const std::string& id,
-                                        base::resources capacity) {
+                                        base::resources capacity,
+                                        const std::string& service) {
     fake_endpoint& endpoint = m_endpoints[id];
     endpoint.clock_set_at = m_now;
     endpoint.clock_start = m_now;
     endpoint.listing.id = name_life(id);
-    endpoint.listing.service = "s";
+    endpoint.listing.service = service;
     endpoint.listing.address = id;
     endpoint.listing.rack = "r1";
     endpoint.listing.capacity = capacity;
@@ -128,11 +129,21 @@
             finish_gang(key, task_outcome::gang_broken);
         }
     }
-    endpoint.completions.clear();
+    lose_completions(endpoint);
     tell(m_term,
          [&](auto& leader) { leader.on_unlisted(endpoint.entry().id, m_now); });
 }
 
+void fake_fleet::lose_completions(fake_endpoint& endpoint) {
+    for (const auto& end : std::exchange(endpoint.completions, {})) {
+        if (end.outcome == task_outcome::failed) {
+            stored_job& job = m_jobs.at(end.task.job);
+            job.failed[end.task].erase(end.run);
+            job.failed_and_lost[end.task].insert(end.run);
+        }
+    }
+}
+
 void fake_fleet::replace_endpoint(const std::string& id) {
     // One that did not drain for long enough has crashed.
     const fake_endpoint& former = m_endpoints.at(id);
@@ -152,14 +163,7 @@
     endpoint.reachable = false;
     endpoint.gone = true;
     endpoint.refuses = crashed_endpoints_refuse;
-    // Ends that were not acknowledged count for nothing.
-    for (const auto& end : std::exchange(endpoint.completions, {})) {
-        if (end.outcome == task_outcome::failed) {
-            stored_job& job = m_jobs.at(end.task.job);
-            job.failed[end.task].erase(end.run);
-            job.failed_and_lost[end.task].insert(end.run);
-        }
-    }
+    lose_completions(endpoint);
     for (const auto& [key, run] : std::exchange(endpoint.runs, {})) {
         m_jobs.at(key.task.job).crashes[key.task]++;
         if (step_spec(key.task).gang) {
@@ -324,6 +328,9 @@
     tell(m_term, [&](auto& leader) {
         leader.set_channels(channels, m_now);
         leader.set_workspaces(m_workspaces);
+        if (m_queues) {
+            leader.set_queues(m_queues);
+        }
         if (former_leases) {
             leader.on_predecessor_leases(*former_leases, m_now);
         }
@@ -465,6 +472,33 @@
     }
 }
 
+void fake_fleet::set_queues(
+    const std::vector<workload::queue_policy>& policies) {
+    std::vector<cluster::queue_route> routes;
+    for (const workload::queue_policy& policy : policies) {
+        routes.push_back({"host", "/" + policy.name + "/", policy});
+    }
+    m_queues = std::make_shared<const cluster::queue_table>(
+        configuration_version() + 1, std::move(routes));
+    if (m_leader) {
+        tell(m_term, [&](auto& leader) { leader.set_queues(m_queues); });
+    }
+}
+
+void fake_fleet::check_service(const cluster::endpoint_listing& endpoint,
+                               const cluster::start_order& order) {
+    const workload::job& job = *m_jobs.at(order.task.job).entry.job;
+    const workload::queue_policy* policy =
+        m_queues && m_acting_term == m_term &&
+                m_queues->version() >= job.configuration_version
+            ? m_queues->find_policy(job.queue.name)
+            : nullptr;
+    if (policy != nullptr && policy->service != endpoint.service) {
+        add_violation("ordered at another service: " +
+                      workload::to_string(order.task) + " on " + endpoint.id);
+    }
+}
+
 base::resources fake_fleet::running(const std::string& workspace) const {
     base::resources result;
     for (const auto& [id, endpoint] : m_endpoints) {
@@ -681,6 +715,7 @@
                        const cluster::start_order& order) {
     std::string id = to.id;
     check_address(to, "start");
+    check_service(to, order);
     bool addressed = !to.address.empty();
     auto lateness = draw_lateness();
     bool lost = chance(m_faults.lost_reply);
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -93,8 +93,8 @@
   public:
     fake_fleet(std::uint64_t seed, fleet_faults faults);
 
-    fake_endpoint& add_endpoint(const std::string& id,
-                                base::resources capacity);
+    fake_endpoint& add_endpoint(const std::string& id, base::resources capacity,
+                                const std::string& service = "s");
     /// Replaces the leader, as after the loss of a VM.
     /// @param pause how long there is no leader.
     void elect_leader(milliseconds pause = milliseconds(0));
@@ -134,6 +134,13 @@
     /// Passes the limits of workspaces to this leader and the next ones. From
     /// now on each start is checked against them.
     void set_workspaces(std::vector<workspace::policy> policies);
+    /// Passes the next version of the configuration to this leader and the next
+    /// ones. From now on the starts that they order are checked against it.
+    void set_queues(const std::vector<workload::queue_policy>& policies);
+    /// @return the version of the configuration, 0 before the first one.
+    [[nodiscard]] std::uint64_t configuration_version() const {
+        return m_queues ? m_queues->version() : 0;
+    }
     /// @return what the workspace has running on all endpoints.
     [[nodiscard]] base::resources running(const std::string& workspace) const;
     void run_for(milliseconds time);
@@ -234,8 +241,8 @@
         /// Done tasks of each step, as seen by the endpoints.
         std::map<workload::step_key, std::set<int>> done;
         std::map<workload::task_key, std::set<int>> failed;
-        /// Failed runs whose ends were lost in a crash before they were
-        /// acknowledged.
+        /// Failed runs whose ends were lost with their endpoint before they
+        /// were acknowledged.
         std::map<workload::task_key, std::set<int>> failed_and_lost;
         /// Endpoints that crashed under each task.
         std::map<workload::task_key, int> crashes;
@@ -272,6 +279,8 @@
                         const cluster::renew_order& order, instant wait_until);
     /// @return the endpoint that gets orders for a life.
     [[nodiscard]] fake_endpoint& endpoint_at(const std::string& id);
+    /// Drops the ends that were not acknowledged, which count for nothing.
+    void lose_completions(fake_endpoint& endpoint);
     /// Ends the endpoint's process with all that it holds.
     void end_process(fake_endpoint& endpoint);
     /// @return the id of a life that begins now.
@@ -280,6 +289,10 @@
     void check_address(const cluster::endpoint_listing& to, const char* order);
     void check_start(const fake_endpoint& endpoint,
                      const cluster::start_order& order);
+    /// Checks that the leader, which knows the newest configuration, orders a
+    /// start at the service of the job's queue only.
+    void check_service(const cluster::endpoint_listing& endpoint,
+                       const cluster::start_order& order);
     /// Checks that a start keeps the limit of the job's workspace.
     void check_limit(const cluster::start_order& order);
     /// Checks that no task was started again after an end that the leader
@@ -312,6 +325,7 @@
     std::size_t m_starts{0};
     std::size_t m_crashes{0};
     std::map<std::string, instant> m_first_start;
+    std::shared_ptr<const cluster::queue_table> m_queues;
     std::shared_ptr<const workspace::directory> m_workspaces;
     /// The limits before the present ones, which starts may still meet.
     std::shared_ptr<const workspace::directory> m_former_workspaces;
