--- a/tests/workload/workload_test.cpp
+++ b/tests/workload/workload_test.cpp
@@ -13,6 +13,7 @@
 job sample_job() {
     job out;
     out.id = "j1";
+    out.configuration_version = 0x1'0000'0001;
     out.payload = "payload \"with\" quotes \xc3\xa9";
     out.queue.name = "q";
     out.queue.service = "s";
@@ -43,6 +44,8 @@
     auto out = workload::decode_job(workload::encode(in), "j1");
     BOOST_REQUIRE(out.has_value());
     BOOST_TEST(out->payload == in.payload);
+    BOOST_TEST((out->queue == in.queue));
+    BOOST_TEST(out->configuration_version == in.configuration_version);
     BOOST_TEST(out->queue.stretch == in.queue.stretch);
     BOOST_TEST(out->queue.advice->call_time_per_candidate.count() == 5400);
     BOOST_TEST(out->steps.size() == 2u);
@@ -51,6 +54,18 @@
     BOOST_TEST(out->steps[0].need.cpu_milli == 500);
 }
 
+// Records of earlier product versions don't say which configuration their policy
+// is from.
+BOOST_AUTO_TEST_CASE(job_without_a_configuration_version_is_read) {
+    job in = sample_job();
+    in.configuration_version = 0;
+    std::string text = workload::encode(in);
+    BOOST_TEST(text.find("\"configuration\"") == std::string::npos);
+    auto out = workload::decode_job(text, "j1");
+    BOOST_REQUIRE(out.has_value());
+    BOOST_TEST(out->configuration_version == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(progress_round_trips_through_its_record) {
     progress in;
     in.state = workload::job_state::running;
