Takeover: runs of unknown jobs hold their endpoint once its capacity is known

Cause: `adopt_run` takes the endpoint's capacity for the need of a run whose job has ended, as the need is not known. An endpoint that the new leader knows from a stored placement is asked for its runs before the registry has been read; its capacity is 0 then, so the runs that are to be stopped held nothing when the entry came.

Change: such runs are marked, and hold the whole endpoint as soon as its entry is read (`update_unknown_needs`).

--- a/include/eelgrasslever/cluster/endpoint_state.hpp
+++ b/include/eelgrasslever/cluster/endpoint_state.hpp
@@ -34,6 +34,8 @@
 struct allocation {
     int number{0}; ///< of the run
     base::resources need;
+    /// Otherwise `need` is the endpoint's capacity, as far as that is known.
+    bool is_need_known{true};
     std::string workspace; ///< whose limit it counts against; empty: none
     allocation_phase phase{allocation_phase::starting};
     /// Sequence number of the start's confirmation. Renewals up to this number
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -248,6 +248,8 @@
                               base::instant now);
     void adopt_run(endpoint_state& endpoint, const running_task& row,
                    base::instant now);
+    /// Lets runs whose need is not known hold the whole endpoint.
+    void update_unknown_needs(endpoint_state& endpoint);
     /// Requeues runs that the endpoint should have reported and did not.
     void requeue_missing_runs(endpoint_state& endpoint,
                               const std::set<run_key>& running,
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -121,6 +121,7 @@
     }
     endpoint.listing = listing;
     endpoint.listed = true;
+    update_unknown_needs(endpoint);
     if (appears) {
         confirm_crashes(listing, now);
     }
@@ -449,8 +450,7 @@
     tracked_job* job = find_job(row.task.job);
     task_execution* task =
         job == nullptr ? nullptr : job->execution->find_task(row.task);
-    // The needs of an unknown task are not known, so it is assumed to use the
-    // whole endpoint.
+    run.is_need_known = task != nullptr;
     run.need = task == nullptr
                    ? endpoint.listing.capacity
                    : job->execution->job()
@@ -480,6 +480,21 @@
     schedule_record(*job, now);
 }
 
+// The registry entry, and with it the capacity, may be read after the first
+// list of runs.
+void scheduler::update_unknown_needs(endpoint_state& endpoint) {
+    for (auto& [key, run] : endpoint.runs) {
+        if (run.is_need_known) {
+            continue;
+        }
+        endpoint.used -= run.need;
+        m_usage.remove(run.workspace, run.need);
+        run.need = endpoint.listing.capacity;
+        endpoint.used += run.need;
+        m_usage.add(run.workspace, run.need);
+    }
+}
+
 void scheduler::requeue_missing_runs(endpoint_state& endpoint,
                                      const std::set<run_key>& running,
                                      base::instant now) {
