Tests: registry read after a takeover, and random changes with real processes

The simulated fleet showed a new leader the registry before the jobs. The service reads it after the election, unless the VM led before, so `registry_read_time` delays it; the random scenarios with queue changes draw it and lose a fifth of the stops.

--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -22,7 +22,8 @@
     /// play the same events with and without them.
     bool workspaces{false};
     /// Whether the endpoints belong to two services, and the queues' policies
-    /// change.
+    /// change. New leaders read the registry after the jobs, and stops are
+    /// lost.
     bool queue_changes{false};
 };
 
@@ -57,6 +58,10 @@
         };
         m_fleet.passes_leases_on = draw_below(2) == 0;
         m_fleet.crashed_endpoints_refuse = draw_below(2) == 0;
+        if (m_options.queue_changes) {
+            m_fleet.registry_read_time = base::milliseconds(draw_below(300));
+            m_fleet.faults().lost_stop = 0.2;
+        }
         m_fleet.crash_outage = second + base::milliseconds(draw_below(8000));
         std::uint64_t deadly_share = draw_below(2) == 0 ? 5 : 0;
         m_fleet.crashes_after = [this,
@@ -359,6 +364,16 @@
     }
 }
 
+// A new leader that had not read the registry yet took the room of runs for
+// free whose job it didn't know.
+BOOST_AUTO_TEST_CASE(takeover_that_failed_once_keeps_the_capacities) {
+    constexpr std::uint64_t seed = 126;
+    for (const std::string& violation :
+         random_scenario(seed, {.queue_changes = true}).run().violations) {
+        BOOST_ERROR("seed " + std::to_string(seed) + ": " + violation);
+    }
+}
+
 // EEL_FIRST_SEED and EEL_SEEDS select other seeds.
 BOOST_AUTO_TEST_CASE(random_scenarios_violate_no_invariant) {
     std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
--- a/tests/cluster/takeover_room_test.cpp
+++ b/tests/cluster/takeover_room_test.cpp
@@ -37,11 +37,9 @@
     fleet.run_for(base::milliseconds(100));
     BOOST_TEST((fleet.progress_of("cancelled").state ==
                 workload::job_state::cancelled));
-    fleet.endpoint("e0").registered = false;
+    fleet.registry_read_time = base::milliseconds(50);
     fleet.elect_leader();
     fleet.submit(make_job("next", 1, 8000));
-    fleet.run_for(base::milliseconds(50));
-    fleet.list_endpoint("e0");
     fleet.run_for(second);
     fleet.faults().lost_stop = 0.0;
     fleet.run_for(5 * second);
--- a/tests/reconfiguration/reconfiguration_test.cpp
+++ b/tests/reconfiguration/reconfiguration_test.cpp
@@ -3,9 +3,12 @@
 #include "cell.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <functional>
+#include <unistd.h>
 
 namespace {
 
@@ -23,6 +26,9 @@
 /// room.
 constexpr int restart_bound_ms = 6000 + start_bound_ms;
 constexpr int sample_ms = 50;
+/// Jobs must have ended this long after the end of the traffic, by the settings
+/// that the cell writes.
+constexpr int finish_bound_ms = 14'000;
 
 /// A folder that holds the program where the cell looks for it, as the working
 /// directory.
@@ -118,19 +124,36 @@
         }
         return count;
     }
-    /// Checks that no task had two runs at the same time.
+    /// Checks that no task had two runs at the same time, or was started after
+    /// its end was recorded.
     void check_runs() {
         std::map<std::string, int> alive;
+        std::set<std::string> recorded;
         for (const auto& event : cell.events()) {
             if (event.what == "start") {
                 BOOST_TEST(++alive[event.task] == 1,
                            "two runs of " << event.task);
-            } else if (event.what != "noted") {
+                BOOST_TEST(!recorded.contains(event.task),
+                           event.task << " is started after its end");
+            } else if (event.what == "noted") {
+                recorded.insert(event.task);
+            } else {
                 alive[event.task]--;
             }
         }
     }
 
+    /// Sends a signal to one of the system's processes.
+    static void signal_vm(std::size_t number, int signal) {
+        std::string own = std::to_string(getpid());
+        std::ifstream children("/proc/" + own + "/task/" + own + "/children");
+        std::vector<pid_t> processes{std::istream_iterator<pid_t>(children),
+                                     {}};
+        if (number < processes.size()) {
+            kill(processes[number], signal);
+        }
+    }
+
     working_folder folder;
     queue occupant{"occupant", "desk.example", "/occupant/", "full"};
     queue visitor{"visitor", "desk.example", "/visitor/", "idle"};
@@ -248,3 +271,133 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Queues move between the services, are taken out and come back, while jobs
+/// arrive, endpoints crash and VMs pause and restart.
+class random_changes {
+  public:
+    random_changes(fixture& cell, std::uint64_t seed)
+        : m_fixture(cell), m_random(seed) {}
+
+    void run() {
+        constexpr int turns = 40;
+        for (int turn = 0; turn < turns; ++turn) {
+            // What is lost late has no time to run again before the bounds.
+            act(turn < turns / 2 ? draw_below(12) : draw_below(9));
+            review::cell::cell::sleep_ms(static_cast<int>(draw_below(500)));
+        }
+        resume_vm();
+        m_fixture.change("idle");
+        m_fixture.cell.configure(m_fixture.queues());
+        review::cell::cell::sleep_ms(finish_bound_ms);
+        BOOST_TEST(!m_finite.empty());
+        for (const auto& [id, of] : m_finite) {
+            std::string state = m_fixture.cell.state(of, id);
+            BOOST_TEST(state == "completed", id << " is " << state);
+        }
+        for (const auto& [id, count] : m_lasting) {
+            BOOST_TEST(m_fixture.cell.count_running(id) == count, id);
+        }
+    }
+
+  private:
+    std::uint64_t draw_below(std::uint64_t bound) { return m_random() % bound; }
+
+    void act(std::uint64_t event) {
+        queue& changed =
+            draw_below(2) == 0 ? m_fixture.moved : m_fixture.visitor;
+        switch (event) {
+        case 0:
+        case 1:
+        case 2:
+            changed.service = changed.service == "full" ? "idle" : "full";
+            m_fixture.cell.configure(m_fixture.queues());
+            break;
+        case 3:
+            m_fixture.cell.configure({m_fixture.occupant, m_fixture.visitor});
+            break;
+        case 9:
+            crash_and_restart();
+            break;
+        case 10:
+            resume_vm();
+            m_paused = draw_below(vm_count);
+            m_fixture.signal_vm(*m_paused, SIGSTOP);
+            break;
+        case 11:
+            resume_vm();
+            m_fixture.restart_vms();
+            break;
+        default:
+            resume_vm();
+            submit();
+        }
+    }
+
+    void submit() {
+        // The queue may be absent at present.
+        const queue& to = m_fixture.visitor;
+        const queue& other = m_fixture.moved;
+        const queue& chosen = draw_below(2) == 0 ? to : other;
+        std::string id = m_fixture.cell.make_id();
+        bool lasts = draw_below(6) == 0;
+        step spec{1 + static_cast<int>(draw_below(4)), 1000, 512, 1000, lasts,
+                  !lasts && draw_below(3) == 0};
+        std::string work = "work=" + std::to_string(300 + draw_below(2000));
+        if (!m_fixture.cell.submit(chosen, id, {spec},
+                                   lasts ? "lasting" : work)) {
+            return;
+        }
+        if (lasts) {
+            m_lasting[id] = spec.count;
+        } else {
+            m_finite.emplace(id, chosen);
+        }
+    }
+
+    void crash_and_restart() {
+        auto workers = m_fixture.cell.workers();
+        review::cell::worker* target = workers[draw_below(workers.size())];
+        if (target->is_up()) {
+            m_fixture.cell.crash(*target);
+            review::cell::cell::sleep_ms(static_cast<int>(draw_below(1000)));
+            BOOST_REQUIRE(m_fixture.cell.restart(*target) != nullptr);
+        }
+    }
+
+    void resume_vm() {
+        if (m_paused) {
+            m_fixture.signal_vm(*m_paused, SIGCONT);
+            m_paused.reset();
+        }
+    }
+
+    fixture& m_fixture;
+    std::mt19937_64 m_random;
+    std::optional<std::size_t> m_paused;
+    std::map<std::string, queue> m_finite;
+    std::map<std::string, int> m_lasting; ///< number of tasks
+};
+
+std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+// Accepted jobs were lost, or tasks run twice, while their queues moved beside
+// crashes, pauses and restarts. EEL_FIRST_SEED and EEL_SEEDS select other
+// seeds.
+BOOST_AUTO_TEST_CASE(random_changes_lose_no_job_and_run_no_task_twice) {
+    std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
+    std::uint64_t count = from_environment("EEL_SEEDS", 1);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            fixture cell;
+            random_changes(cell, seed).run();
+        }
+    }
+}
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -334,15 +334,28 @@
         if (former_leases) {
             leader.on_predecessor_leases(*former_leases, m_now);
         }
-        for (const auto& [id, endpoint] : m_endpoints) {
-            if (endpoint.registered) {
-                leader.on_listed(endpoint.entry(), m_now);
-            }
+        if (registry_read_time == milliseconds(0)) {
+            show_registry();
         }
         for (const auto& [id, job] : m_jobs) {
             leader.on_job_accepted(job.entry, m_now);
         }
     });
+    if (registry_read_time > milliseconds(0)) {
+        schedule(registry_read_time, [this, term_number = m_term] {
+            if (term_number == m_term) {
+                show_registry();
+            }
+        });
+    }
+}
+
+void fake_fleet::show_registry() {
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.registered) {
+            show_entry(endpoint.entry());
+        }
+    }
 }
 
 void fake_fleet::tell(std::uint64_t term,
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -211,6 +211,8 @@
     bool records_addresses{true};
     /// Whether a leader passes its leases on to its successor.
     bool passes_leases_on{false};
+    /// How long a new leader takes to read the registry.
+    milliseconds registry_read_time{0};
     /// VMs that can make advice calls, from the next election on.
     std::vector<std::string> channels{"vm-1", "vm-2"};
     int max_violations{10};
@@ -252,6 +254,8 @@
     void schedule(milliseconds delay, std::function<void()> action);
     void advance();
     void start_term(const std::optional<cluster::lease_table>& former_leases);
+    /// Shows the registry to the leader of the present term.
+    void show_registry();
     /// Passes something to the leader of the term if that still acts.
     void tell(std::uint64_t term,
               const std::function<void(cluster::scheduler&)>& message);
--- a/tests/workload/workload_test.cpp
+++ b/tests/workload/workload_test.cpp
@@ -54,8 +54,8 @@
     BOOST_TEST(out->steps[0].need.cpu_milli == 500);
 }
 
-// Records of earlier product versions don't say which configuration their policy
-// is from.
+// Records of earlier product versions don't say which configuration their
+// policy is from.
 BOOST_AUTO_TEST_CASE(job_without_a_configuration_version_is_read) {
     job in = sample_job();
     in.configuration_version = 0;
