--- a/tests/cluster/workspace_limits_test.cpp
+++ b/tests/cluster/workspace_limits_test.cpp
@@ -150,6 +150,24 @@
     BOOST_TEST(fleet.run_until_jobs_end(60 * second));
 }
 
+// A new leader doesn't know whose limit the runs of an ended job count against,
+// and starts work of the workspace beside them before they are stopped.
+BOOST_AUTO_TEST_CASE(takeover_counts_runs_of_ended_jobs) {
+    fleet.task_duration = [](const workload::task_key&) { return 60 * second; };
+    fleet.set_workspaces({make_policy("w", 8000)});
+    fleet.elect_leader();
+    submit("a", "w", 8, 1000);
+    fleet.run_for(second);
+    BOOST_TEST(fleet.running("w").cpu_milli == 8000);
+    fleet.faults().lost_stop = 1.0;
+    fleet.cancel("a");
+    fleet.run_for(second / 10);
+    fleet.elect_leader();
+    submit("b", "w", 8, 1000);
+    fleet.run_for(second);
+    BOOST_TEST(fleet.running("w").cpu_milli <= 8800);
+}
+
 // Beside a full fleet, what a flooding workspace sends beyond its rate delayed
 // the jobs that others sent after it.
 BOOST_AUTO_TEST_CASE(surplus_waits_behind_the_work_of_others) {
