Tests: endpoints that start again under their ids tell their lives

The record and the leader's log show why: the stand-in came back under its id without `born`, its numbers of ends began at 1 again, and the leader took them for known ones (`run_missing ... seen=1`). The checks are unchanged.

--- a/tests/reconfiguration/reconfiguration_test.cpp
+++ b/tests/reconfiguration/reconfiguration_test.cpp
@@ -64,6 +64,9 @@
 struct fixture {
     fixture() {
         BOOST_REQUIRE(cell.begin(queues()));
+        // Endpoints that start again under their ids tell when their lives
+        // began, as the platform's do.
+        cell.tell_lives();
         for (int i = 0; i < 8; ++i) {
             BOOST_REQUIRE(cell.add_worker(i < 4 ? "full" : "idle",
                                           i < 4 ? "r-1" : "r-2",
