--- a/tests/reconfiguration/reconfiguration_test.cpp
+++ b/tests/reconfiguration/reconfiguration_test.cpp
@@ -293,7 +293,6 @@
         }
         resume_vm();
         m_fixture.change("idle");
-        m_fixture.cell.configure(m_fixture.queues());
         review::cell::cell::sleep_ms(finish_bound_ms);
         BOOST_TEST(!m_finite.empty());
         for (const auto& [id, of] : m_finite) {
@@ -340,10 +339,9 @@
     }
 
     void submit() {
-        // The queue may be absent at present.
-        const queue& to = m_fixture.visitor;
-        const queue& other = m_fixture.moved;
-        const queue& chosen = draw_below(2) == 0 ? to : other;
+        // "moved" may be absent at present; then the job is not accepted.
+        const queue& chosen =
+            draw_below(2) == 0 ? m_fixture.visitor : m_fixture.moved;
         std::string id = m_fixture.cell.make_id();
         bool lasts = draw_below(6) == 0;
         step spec{1 + static_cast<int>(draw_below(4)), 1000, 512, 1000, lasts,
