--- a/tests/cluster/crash_test.cpp
+++ b/tests/cluster/crash_test.cpp
@@ -1,13 +1,14 @@
 // Tasks that crash the endpoints on which they start, and endpoints that crash
 // by themselves.
+#include "environment.hpp"
 #include "fake_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <random>
 
 using namespace eelgrasslever;
 using test::fake_fleet;
+using test::from_environment;
 using test::make_job;
 
 namespace {
@@ -24,11 +25,6 @@
     return out;
 }
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 /// A fleet in which the first task of the job "deadly" crashes its endpoint.
 struct deadly_fleet {
     explicit deadly_fleet(base::milliseconds crash_age,
--- a/tests/cluster/gang_beside_room_test.cpp
+++ b/tests/cluster/gang_beside_room_test.cpp
@@ -3,15 +3,16 @@
 // job that could run, with room for it twice over and under half of the fleet
 // in use, does so within 3 s.
 #include "eelgrasslever/observe/log.hpp"
+#include "environment.hpp"
 #include "fake_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 
 using namespace eelgrasslever;
 using test::fake_fleet;
+using test::from_environment;
 using test::make_job;
 
 namespace {
@@ -326,11 +327,6 @@
     int m_next_endpoint{0};
 };
 
-std::uint64_t from_environment(const char* name, std::uint64_t otherwise) {
-    const char* value = std::getenv(name);
-    return value == nullptr ? otherwise : std::stoull(value);
-}
-
 /// EEL_FIRST_SEED and EEL_SEEDS select other seeds.
 void check(const std::function<scene(std::uint64_t)>& make) {
     std::uint64_t first = from_environment("EEL_FIRST_SEED", 1);
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -1,16 +1,17 @@
 // Runs the scheduler against random loads and faults drawn from seeds. The
 // simulated fleet checks the invariants at each start.
+#include "environment.hpp"
 #include "fake_fleet.hpp"
 
 #include "eelgrasslever/observe/log.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <map>
 #include <set>
 
 using namespace eelgrasslever;
 using test::fake_fleet;
+using test::from_environment;
 using test::make_job;
 
 namespace {
@@ -326,11 +327,6 @@
     std::uint64_t m_jobs{0};
 };
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 // A workspace had more running than its limit: after a takeover, beside runs
--- a/tests/cluster/restart_test.cpp
+++ b/tests/cluster/restart_test.cpp
@@ -1,16 +1,17 @@
 // Endpoints that start again under their name. What such an endpoint knew, held
 // and counted in its former life is gone, and orders for that life reach it.
+#include "environment.hpp"
 #include "fake_fleet.hpp"
 
 #include "eelgrasslever/observe/log.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <map>
 #include <random>
 
 using namespace eelgrasslever;
 using test::fake_fleet;
+using test::from_environment;
 using test::make_job;
 
 namespace {
@@ -25,11 +26,6 @@
     return out;
 }
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 void expect_no_violations(const fake_fleet& fleet) {
     for (const std::string& violation : fleet.violations()) {
         BOOST_ERROR(violation);
--- a/tests/reconfiguration/reconfiguration_test.cpp
+++ b/tests/reconfiguration/reconfiguration_test.cpp
@@ -1,6 +1,7 @@
 // The configuration sends queues to other services while jobs wait and run,
 // with the system's own processes and the stand-ins of `review/platform_cell`.
 #include "cell.hpp"
+#include "environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -8,10 +9,15 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
+#include <map>
+#include <random>
+#include <set>
 #include <unistd.h>
 
 namespace {
 
+using eelgrasslever::test::from_environment;
 using review::cell::queue;
 using review::cell::step;
 
@@ -382,11 +388,6 @@
     std::map<std::string, int> m_lasting; ///< number of tasks
 };
 
-std::uint64_t from_environment(const char* name, std::uint64_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 // Accepted jobs were lost, or tasks run twice, while their queues moved beside
