--- a/review/cell_3/cases.cpp
+++ b/review/cell_3/cases.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
-#include <thread>
+#include <set>
 
 namespace review::cell {
 
@@ -35,68 +35,6 @@
     }
 }
 
-/// Longest time in which a task that lasts had no run after its first one.
-milliseconds longest_gap(const std::vector<run_event>& events,
-                         milliseconds until) {
-    milliseconds gap{0};
-    milliseconds ended{-1};
-    int running = 0;
-    for (const run_event& event : events) {
-        if (event.how == "start") {
-            if (running++ == 0 && ended.count() >= 0) {
-                gap = std::max(gap, event.at - ended);
-            }
-        } else if (--running == 0) {
-            ended = event.at;
-        }
-    }
-    return running == 0 && ended.count() >= 0 ? std::max(gap, until - ended)
-                                              : gap;
-}
-
-verdict lasting_task_fails(deployment& cell, bool trouble) {
-    const std::string failing = "1a57000000000001";
-    const std::string sound = "1a57000000000002";
-    std::atomic<bool> is_failing{trouble};
-    cell.course = [&](const std::string& task, int) -> task_course {
-        bool fails = is_failing && task.starts_with(failing);
-        return {500ms, fails, true};
-    };
-    add_workers(cell, 6);
-    if (!prepare(cell, 3, {desk})) {
-        return verdict::not_run;
-    }
-    if (cell.submit(
-            cell.vms[0], desk, failing,
-            R"([{"count":6,"cpu":9000,"memMb":256,"longRunning":true}])") !=
-        200) {
-        return verdict::not_run;
-    }
-    deployment::wait(18s);
-    is_failing = false;
-    cell.notes.note("worker", "the tasks of " + failing + " no longer fail");
-    if (cell.submit(
-            cell.vms[1], desk, sound,
-            R"([{"count":1,"cpu":1000,"memMb":256,"longRunning":true}])") !=
-        200) {
-        return verdict::not_run;
-    }
-    auto accepted_at = cell.notes.now();
-    deployment::wait(25s);
-    milliseconds gap = longest_gap(cell.runs.of_job(failing), cell.notes.now());
-    auto of_sound = cell.runs.of_job(sound);
-    milliseconds wait_of_sound =
-        (of_sound.empty() ? cell.notes.now() : of_sound.front().at) -
-        accepted_at;
-    cell.notes.note("check",
-                    "longest time without a run of " + failing + ": " +
-                        text(gap) + "; " + sound +
-                        " waited for its start: " + text(wait_of_sound));
-    // A task that lasts has to run again 3 s after the 6 s that follow its
-    // last run.
-    return gap > 9s || wait_of_sound > 9s ? verdict::broken : verdict::held;
-}
-
 verdict dropped_queue(deployment& cell, bool trouble) {
     const queue old_queue{"q-old", "/old/", "desk"};
     const std::string job = "d409000000000001";
@@ -136,75 +74,31 @@
     return status == 200 ? verdict::broken : verdict::held;
 }
 
-verdict flapping_workers(deployment& cell, bool trouble) {
-    const std::string batch = "f1a9000000000001";
-    const std::string lasting = "f1a9000000000002";
-    cell.course = [&](const std::string& task, int) -> task_course {
-        return {4s, false, task.starts_with(lasting)};
-    };
-    add_workers(cell, 18);
-    std::vector<worker*> rack;
-    for (const char* name : {"worker-18", "worker-19"}) {
-        rack.push_back(&cell.add_worker(name, "north", {"b", "r3"}, 16000));
-    }
-    if (!prepare(cell, 3, {desk})) {
-        return verdict::not_run;
-    }
-    std::thread flapping([&] {
-        for (int entry = 0; trouble && entry < 3; ++entry) {
-            deployment::wait(1s);
-            for (int round = 0; round < 2; ++round) {
-                deployment::wait(2300ms);
-                for (worker* each : rack) {
-                    each->crash();
-                }
-                deployment::wait(500ms);
-                for (worker* each : rack) {
-                    each->start();
-                }
-            }
+/// @return how many tasks of a job have ended `done`.
+std::size_t count_done(const std::vector<run_event>& events) {
+    std::set<std::string> done;
+    for (const run_event& event : events) {
+        if (event.how == "done") {
+            done.insert(event.task);
         }
-    });
-    bool accepted =
-        cell.submit(
-            cell.vms[0], desk, batch,
-            R"([{"count":2,"cpu":1000,"memMb":256,"estimateMs":3000,"requires":"b"}])") ==
-            200 &&
-        cell.submit(
-            cell.vms[1], desk, lasting,
-            R"([{"count":2,"cpu":1000,"memMb":256,"longRunning":true,"requires":"b"}])") ==
-            200;
-    flapping.join();
-    if (!accepted) {
-        return verdict::not_run;
-    }
-    deployment::wait(25s);
-    bool broken = false;
-    for (const std::string& job : {batch, lasting}) {
-        std::string state = cell.state_anywhere(desk, job);
-        auto events = cell.runs.of_job(job);
-        auto failures =
-            std::count_if(events.begin(), events.end(),
-                          [](const auto& e) { return e.how == "failed"; });
-        cell.notes.note("check", "job " + job + " is shown as " + state +
-                                     "; ends `failed` of its tasks: " +
-                                     std::to_string(failures));
-        broken = broken || (state == "failed" && failures == 0);
     }
-    return broken ? verdict::broken : verdict::held;
+    return done.size();
 }
 
-/// Hands in @p first, and small jobs after it, and looks whether they run.
+/// Hands in a job, and small jobs after it, and looks whether they go on.
+/// @param tasks of the first job, all of which are due.
 verdict small_jobs_beside(deployment& cell, const std::string& first,
-                          const std::string& steps, const std::string& more) {
+                          std::size_t tasks, const std::string& steps,
+                          const std::string& more) {
     constexpr int small_jobs = 6;
+    constexpr std::size_t tasks_of_small_job = 2;
     constexpr std::chrono::seconds finish{14};
-    std::vector<std::string> accepted;
+    std::map<std::string, std::size_t> accepted; ///< with their tasks
     if (cell.submit(cell.vms[0], desk, first, steps, more) != 200) {
         cell.notes.note("check", "the job was not accepted");
         return verdict::held;
     }
-    accepted.push_back(first);
+    accepted[first] = tasks;
     for (int i = 0; i < small_jobs; ++i) {
         deployment::wait(2s);
         std::string id = "57a1100000000000";
@@ -213,15 +107,15 @@
             cell.vms[static_cast<std::size_t>(i) % cell.vms.size()], desk, id,
             R"([{"count":2,"cpu":1000,"memMb":256,"estimateMs":500}])");
         if (status == 200) {
-            accepted.push_back(id);
+            accepted[id] = tasks_of_small_job;
         }
     }
     // The rule is judged later than this after the end of the traffic, over 3
     // s.
     deployment::wait(finish);
-    std::vector<std::size_t> before;
-    for (const std::string& id : accepted) {
-        before.push_back(cell.runs.of_job(id).size());
+    std::map<std::string, std::size_t> before;
+    for (const auto& [id, count] : accepted) {
+        before[id] = cell.runs.of_job(id).size();
     }
     deployment::wait(3s);
     std::size_t running = 0;
@@ -232,15 +126,20 @@
                                  " workers of 16 processors run " +
                                  std::to_string(running) + " tasks");
     bool broken = false;
-    for (std::size_t i = 0; i < accepted.size(); ++i) {
-        std::string state = cell.state_anywhere(desk, accepted[i]);
-        std::size_t events = cell.runs.of_job(accepted[i]).size();
-        bool stands_still = events == 0 && state == "queued";
+    for (const auto& [id, count] : accepted) {
+        auto events = cell.runs.of_job(id);
+        std::size_t done = count_done(events);
+        bool stands_still =
+            running == 0 && done < count && events.size() == before[id];
         broken = broken || stands_still;
-        cell.notes.note("check",
-                        "job " + accepted[i] + " is " + state +
-                            "; starts and ends: " + std::to_string(before[i]) +
-                            ", 3 s later " + std::to_string(events));
+        cell.notes.note(
+            "check",
+            "job " + id + ": " + std::to_string(done) + " of " +
+                std::to_string(count) + " tasks are done; " +
+                (stands_still ? "nothing for 3 s" : "all, or it goes on"));
+    }
+    for (const auto& [id, count] : accepted) {
+        cell.state(cell.vms[0], desk, id);
     }
     return broken ? verdict::broken : verdict::held;
 }
@@ -257,7 +156,8 @@
     // Far below half of the workers' room: 82 of 192 processors.
     std::string step = R"({"count":)" + std::string(trouble ? "4096" : "60") +
                        R"(,"cpu":4,"memMb":4,"estimateMs":2000})";
-    return small_jobs_beside(cell, large,
+    constexpr std::size_t steps = 5;
+    return small_jobs_beside(cell, large, steps * (trouble ? 4096 : 60),
                              "[" + step + "," + step + "," + step + "," + step +
                                  "," + step + "]",
                              "");
@@ -278,67 +178,117 @@
         std::chrono::system_clock::now().time_since_epoch());
     auto first = now - std::chrono::seconds(count);
     return small_jobs_beside(
-        cell, schedule,
+        cell, schedule, static_cast<std::size_t>(count),
         R"([{"count":1,"cpu":100,"memMb":64,"estimateMs":500}])",
         R"("repeatCount":)" + std::to_string(count) + R"(,"startAtMs":)" +
             std::to_string(first.count()) + R"(,"intervalMs":1000)");
 }
 
-verdict one_crash(deployment& cell, bool trouble) {
-    const std::string lasting = "0c2a540000000000";
-    constexpr int tasks = 24;
-    cell.course = [&](const std::string&, int) -> task_course {
+verdict limit_at_hand_over(deployment& cell, bool trouble) {
+    const std::string first = "407a000000000001";
+    const std::string second = "407a000000000002";
+    constexpr int cap = 8000;
+    constexpr int task_cpu = 1000;
+    cell.tenants = {{"ledger", "key-of-ledger", cap}};
+    cell.key = "key-of-ledger";
+    cell.limits.stop_duration = 800ms;
+    cell.course = [](const std::string&, int) -> task_course {
         return {0ms, false, true};
     };
-    add_workers(cell, 12);
+    add_workers(cell, 6);
     if (!prepare(cell, 3, {desk})) {
         return verdict::not_run;
     }
-    int status =
-        cell.submit(cell.vms[0], desk, lasting,
-                    R"([{"count":)" + std::to_string(tasks) +
-                        R"(,"cpu":500,"memMb":256,"longRunning":true}])");
-    if (status != 200) {
+    const std::string steps =
+        R"([{"count":8,"cpu":1000,"memMb":256,"longRunning":true}])";
+    if (cell.submit(cell.vms[0], desk, first, steps) != 200) {
         return verdict::not_run;
     }
-    deployment::wait(500ms);
-    auto busiest =
-        std::max_element(cell.workers.begin(), cell.workers.end(),
-                         [](const auto& a, const auto& b) {
-                             return a->running_count() < b->running_count();
-                         });
+    deployment::wait(2s);
+    vm* leader = cell.leader();
+    if (leader == nullptr ||
+        cell.submit(cell.vms[1], desk, second, steps) != 200) {
+        return verdict::not_run;
+    }
+    deployment::wait(2s);
+    vm& other = leader == &cell.vms[0] ? cell.vms[1] : cell.vms[0];
+    if (cell.cancel(other, desk, first) != 200) {
+        return verdict::not_run;
+    }
+    deployment::wait(200ms);
     if (trouble) {
-        (*busiest)->crash();
-        deployment::wait(1s);
-        (*busiest)->start();
+        cell.send_signal(*leader, SIGTERM);
     }
-    deployment::wait(40s);
-    // Each task has to run again 3 s after the 6 s that follow its last run.
-    std::map<std::string, std::vector<run_event>> by_task;
-    for (const run_event& event : cell.runs.of_job(lasting)) {
-        by_task[event.task].push_back(event);
+    deployment::wait(8s);
+    int running = 0;
+    int most = 0;
+    auto events = cell.runs.of_job(first);
+    auto others = cell.runs.of_job(second);
+    events.insert(events.end(), others.begin(), others.end());
+    std::stable_sort(events.begin(), events.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    for (const run_event& event : events) {
+        running += event.how == "start" ? task_cpu : -task_cpu;
+        most = std::max(most, running);
     }
-    int late = 0;
-    milliseconds longest{0};
-    for (const auto& [task, events] : by_task) {
-        milliseconds gap = longest_gap(events, cell.notes.now());
-        longest = std::max(longest, gap);
-        late += gap > 9s ? 1 : 0;
+    // The bound: `cap` x (1 + `quotaOverage`), and one task more.
+    constexpr int bound = cap * 11 / 10 + task_cpu;
+    cell.notes.note("check", "the tenant had " + std::to_string(most) +
+                                 " running at most; cap " +
+                                 std::to_string(cap) + ", bound " +
+                                 std::to_string(bound));
+    return most > bound ? verdict::broken : verdict::held;
+}
+
+verdict lowered_limit(deployment& cell, bool trouble) {
+    const std::string job = "10e4ed0000000001";
+    constexpr std::chrono::seconds finish{14};
+    cell.tenants = {{"ledger", "key-of-ledger", 16000}};
+    cell.key = "key-of-ledger";
+    cell.course = [](const std::string&, int) -> task_course {
+        return {2s, false, false};
+    };
+    add_workers(cell, 6);
+    if (!prepare(cell, 3, {desk})) {
+        return verdict::not_run;
     }
-    cell.notes.note(
-        "check",
-        std::to_string(late) + " of " + std::to_string(by_task.size()) +
-            " tasks had no run for more than 9 s; longest: " + text(longest));
-    return late > 0 ? verdict::broken : verdict::held;
+    if (cell.submit(
+            cell.vms[0], desk, job,
+            R"([{"count":4,"cpu":6000,"memMb":256,"estimateMs":2000}])") !=
+        200) {
+        return verdict::not_run;
+    }
+    deployment::wait(1s);
+    if (trouble) {
+        cell.tenants.front().cap_cpu = 4000;
+        cell.configure({desk});
+        cell.notes.note("operator", "the tenant's cap is 4 processors now");
+    }
+    deployment::wait(finish);
+    std::size_t before = cell.runs.of_job(job).size();
+    deployment::wait(3s);
+    std::size_t after = cell.runs.of_job(job).size();
+    std::size_t running = 0;
+    for (const auto& each : cell.workers) {
+        running += each->running_count();
+    }
+    std::string state = cell.state_anywhere(desk, job);
+    cell.notes.note("check",
+                    "job " + job + " is " + state +
+                        "; starts and ends: " + std::to_string(before) +
+                        ", 3 s later " + std::to_string(after) + "; " +
+                        std::to_string(running) + " tasks run");
+    bool stands_still = running == 0 && before == after && state == "running";
+    return stands_still ? verdict::broken : verdict::held;
 }
 
 } // namespace
 
 course_of_case find_case(const std::string& name) {
     static const std::map<std::string, course_of_case> cases{
-        {"lasting", &lasting_task_fails}, {"dropped", &dropped_queue},
-        {"flapping", &flapping_workers},  {"large", &large_job},
-        {"schedule", &long_schedule},     {"crash", &one_crash},
+        {"large", &large_job},          {"schedule", &long_schedule},
+        {"quota", &limit_at_hand_over}, {"lowered", &lowered_limit},
+        {"dropped", &dropped_queue},
     };
     auto found = cases.find(name);
     return found == cases.end() ? nullptr : found->second;
--- a/review/cell_3/cell.cpp
+++ b/review/cell_3/cell.cpp
@@ -119,7 +119,7 @@
     m_advice = std::make_unique<http_server>(
         address{m_network + std::to_string(advice_host), store_port},
         [](const request&) {
-            return response{429, "{}", false};
+            return response{429, "{}"};
         });
     bool started = m_advice->start();
     for (int i = 0; i < count; ++i) {
@@ -195,7 +195,7 @@
 
 worker& deployment::add_worker(const std::string& name, const std::string& zone,
                                std::vector<std::string> labels, int cpu,
-                               const std::string& service, bool tells_birth) {
+                               const std::string& service) {
     worker_options options;
     options.name = name;
     options.at = {m_network + std::to_string(first_worker +
@@ -205,7 +205,7 @@
     options.zone = zone;
     options.labels = std::move(labels);
     options.cpu = cpu;
-    options.tells_birth = tells_birth;
+    options.stop_duration = limits.stop_duration;
     workers.push_back(std::make_unique<worker>(
         options, platform, notes, runs,
         [this](const std::string& task, int run) { return course(task, run); },
@@ -234,15 +234,20 @@
     for (const auto& known : queues) {
         if (!services.contains(known.service)) {
             services[known.service] = true;
-            rows.push_back(
-                {{"name", known.service}, {"admissionCheck", false}});
+            rows.push_back({{"name", known.service}, {"admissionCheck"}});
         }
     }
-    platform.put("op/config", json{{"version", m_version},
-                                   {"routes", routes},
-                                   {"services", rows},
-                                   {"limits", {{"maxBodyBytes", 262144}}}}
-                                  .dump());
+    json content{{"version", m_version},
+                 {"routes", routes},
+                 {"services", rows},
+                 {"limits", {{"maxBodyBytes", 262144}}}};
+    for (const tenant& each : tenants) {
+        content["tenants"].push_back({{"name", each.name},
+                                      {"apiKeys", {each.key}},
+                                      {"weight", 100},
+                                      {"cap", {{"cpu", each.cap_cpu}}}});
+    }
+    platform.put("op/config", content.dump());
     std::string names;
     for (const queue& each : queues) {
         names += " " + each.prefix + "->" + each.service;
@@ -257,8 +262,8 @@
                        (more.empty() ? "" : "," + more) + "}";
     notes.note("client",
                "POST " + into.prefix + id + " to " + to.name + " " + body);
-    auto answer =
-        call(to.front, "POST", into.prefix + id, host, body, client_timeout);
+    auto answer = call(to.front, "POST", into.prefix + id, host, body,
+                       client_timeout, key);
     int status = answer ? answer->status : 0;
     notes.note("client",
                "POST " + into.prefix + id + " -> " + std::to_string(status));
@@ -267,7 +272,7 @@
 
 int deployment::cancel(const vm& to, const queue& of, const std::string& id) {
     auto answer =
-        call(to.front, "DELETE", of.prefix + id, host, "", client_timeout);
+        call(to.front, "DELETE", of.prefix + id, host, "", client_timeout, key);
     int status = answer ? answer->status : 0;
     notes.note("client", "DELETE " + of.prefix + id + " at " + to.name +
                              " -> " + std::to_string(status));
@@ -275,7 +280,8 @@
 }
 
 int deployment::count(const vm& to, const queue& of) {
-    auto answer = call(to.front, "GET", of.prefix, host, "", client_timeout);
+    auto answer =
+        call(to.front, "GET", of.prefix, host, "", client_timeout, key);
     int status = answer ? answer->status : 0;
     notes.note("client", "GET " + of.prefix + " at " + to.name + " -> " +
                              std::to_string(status) + " " +
@@ -286,7 +292,7 @@
 std::string deployment::state(const vm& to, const queue& of,
                               const std::string& id) {
     auto answer =
-        call(to.front, "GET", of.prefix + id, host, "", client_timeout);
+        call(to.front, "GET", of.prefix + id, host, "", client_timeout, key);
     std::string found =
         !answer ? "no answer"
         : answer->status == 200
--- a/review/cell_3/cell.hpp
+++ b/review/cell_3/cell.hpp
@@ -31,6 +31,13 @@
     int attempts{3};
 };
 
+/// A tenant of the configuration, with one key.
+struct tenant {
+    std::string name;
+    std::string key;
+    int cap_cpu{0};
+};
+
 /// The bounds of the deployment, as in the settings of a small one.
 struct bounds {
     milliseconds config_apply{2000};
@@ -41,6 +48,7 @@
     milliseconds drain{2000};
     milliseconds cancel{3000};
     milliseconds stop_timeout{900};
+    milliseconds stop_duration{50}; ///< that a worker takes
     milliseconds visible{3000};
 };
 
@@ -63,8 +71,7 @@
     bool wait_ready(milliseconds limit);
     worker& add_worker(const std::string& name, const std::string& zone,
                        std::vector<std::string> labels, int cpu,
-                       const std::string& service = "desk",
-                       bool tells_birth = false);
+                       const std::string& service = "desk");
     /// Writes a configuration; returns when the store has accepted it.
     void configure(const std::vector<queue>& queues);
 
@@ -88,6 +95,8 @@
     run_log runs;
     store platform;
     std::vector<vm> vms;
+    std::vector<tenant> tenants; ///< of the next configurations
+    std::string key;             ///< that the client sends
     std::vector<std::unique_ptr<worker>> workers;
     worker::course_function course;
 
--- a/review/cell_3/http.cpp
+++ b/review/cell_3/http.cpp
@@ -22,8 +22,6 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr int listen_backlog = 256;
-/// How long a connection whose response is lost stays open.
-constexpr milliseconds silence{8000};
 
 sockaddr_in to_native(const address& value) {
     sockaddr_in out{};
@@ -187,10 +185,6 @@
         next.body = buffer.substr(head_end + 4, size);
         buffer.erase(0, head_end + 4 + size);
         response reply = self->on_request(next);
-        if (reply.is_lost) {
-            std::this_thread::sleep_for(silence);
-            break;
-        }
         if (!send_all(descriptor, encode(reply))) {
             break;
         }
@@ -262,18 +256,20 @@
 
 std::optional<response> call(const address& to, const std::string& method,
                              const std::string& target, const std::string& host,
-                             const std::string& body, milliseconds timeout) {
+                             const std::string& body, milliseconds timeout,
+                             const std::string& key) {
     auto until = steady::now() + timeout;
     int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in at = to_native(to);
     std::optional<response> result;
     std::string buffer;
-    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host +
-                       "\r\nContent-Type: application/json\r\n"
-                       "X-Eelgrasslever-Deadline-Ms: " +
-                       std::to_string(timeout.count()) +
-                       "\r\nContent-Length: " + std::to_string(body.size()) +
-                       "\r\n\r\n" + body;
+    std::string text =
+        method + " " + target + " HTTP/1.1\r\nHost: " + host +
+        "\r\nContent-Type: application/json\r\n" +
+        (key.empty() ? "" : "Authorization: Bearer " + key + "\r\n") +
+        "X-Eelgrasslever-Deadline-Ms: " + std::to_string(timeout.count()) +
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+        body;
     if (connect(descriptor, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
         send_all(descriptor, text)) {
         do {
--- a/review/cell_3/http.hpp
+++ b/review/cell_3/http.hpp
@@ -35,7 +35,6 @@
 struct response {
     int status{200};
     std::string body{"{}"};
-    bool is_lost{false}; ///< the connection goes silent and ends without it
 };
 
 class http_server {
@@ -58,9 +57,11 @@
     std::shared_ptr<shared> m_shared;
 };
 
+/// @param key of the caller's tenant; empty: none is sent.
 /// @return the response, or nothing if there was none in time.
 std::optional<response> call(const address& to, const std::string& method,
                              const std::string& target, const std::string& host,
-                             const std::string& body, milliseconds timeout);
+                             const std::string& body, milliseconds timeout,
+                             const std::string& key = "");
 
 } // namespace review::cell
--- a/review/cell_3/store.cpp
+++ b/review/cell_3/store.cpp
@@ -54,7 +54,7 @@
 }
 
 response plain(int status) {
-    return {status, "{}", false};
+    return {status, "{}"};
 }
 
 /// @return the number at the end of a path.
@@ -92,11 +92,7 @@
             if (gate->turns_away) {
                 return plain(503);
             }
-            response reply = handle(call, *gate);
-            if (gate->loses_answer && gate->loses_answer(call)) {
-                reply.is_lost = true;
-            }
-            return reply;
+            return handle(call, *gate);
         }));
     return m_servers.back()->start();
 }
@@ -108,15 +104,6 @@
     m_changed.notify_all();
 }
 
-void store::remove(const std::string& key) {
-    std::lock_guard lock(m_mutex);
-    if (m_items.contains(key)) {
-        m_revision++;
-        erase(key);
-        m_changed.notify_all();
-    }
-}
-
 std::optional<std::string> store::find(const std::string& key) {
     std::lock_guard lock(m_mutex);
     auto found = m_items.find(key);
@@ -184,8 +171,7 @@
         milliseconds ttl(json::parse(call.body).at("ttlMs").get<int>());
         m_leases[++m_last_lease] = {ttl, steady::now() + ttl};
         return {200,
-                json{{"lease", m_last_lease}, {"ttlMs", ttl.count()}}.dump(),
-                false};
+                json{{"lease", m_last_lease}, {"ttlMs", ttl.count()}}.dump()};
     }
     if (call.path.starts_with("/kv-keep/")) {
         auto found = m_leases.find(last_number(call.path));
@@ -209,7 +195,7 @@
     }
     json out = encode(found->first, found->second);
     out["currentRev"] = m_revision;
-    return {200, out.dump(), false};
+    return {200, out.dump()};
 }
 
 response store::read_range(const request& call) {
@@ -226,12 +212,10 @@
         }
         items.push_back(encode(next->first, next->second));
     }
-    return {200,
-            json{{"items", std::move(items)},
-                 {"hasMore", has_more},
-                 {"currentRev", m_revision}}
-                .dump(),
-            false};
+    return {200, json{{"items", std::move(items)},
+                      {"hasMore", has_more},
+                      {"currentRev", m_revision}}
+                     .dump()};
 }
 
 response store::watch(const request& call, const store_gate& gate) {
@@ -267,11 +251,9 @@
         }
         bool is_whole = next == m_history.end();
         if (!events.empty() || steady::now() >= until) {
-            return {200,
-                    json{{"events", std::move(events)},
-                         {"currentRev", is_whole ? m_revision : last}}
-                        .dump(),
-                    false};
+            return {200, json{{"events", std::move(events)},
+                              {"currentRev", is_whole ? m_revision : last}}
+                             .dump()};
         }
         constexpr milliseconds gate_check_period{50};
         m_changed.wait_until(
@@ -300,7 +282,7 @@
                               : encode(found->first, found->second));
     }
     if (!holds) {
-        return {412, json{{"items", current}}.dump(), false};
+        return {412, json{{"items", current}}.dump()};
     }
     for (const json& row : puts) {
         auto lease = row.value("lease", std::uint64_t{0});
@@ -323,7 +305,7 @@
         erase(key);
     }
     m_changed.notify_all();
-    return {200, json{{"revision", m_revision}}.dump(), false};
+    return {200, json{{"revision", m_revision}}.dump()};
 }
 
 } // namespace review::cell
--- a/review/cell_3/store.hpp
+++ b/review/cell_3/store.hpp
@@ -16,8 +16,6 @@
 /// The way of one machine to the store.
 struct store_gate {
     std::atomic<bool> turns_away{false}; ///< answers each call with 503
-    /// Returns whether the answer to a call is lost; the call is carried out.
-    std::function<bool(const request&)> loses_answer;
 };
 
 class store {
@@ -29,7 +27,6 @@
 
     /// Writes on behalf of the operator or of a worker.
     void put(const std::string& key, const std::string& value);
-    void remove(const std::string& key);
     [[nodiscard]] std::optional<std::string> find(const std::string& key);
 
   private:
--- a/review/cell_3/worker.cpp
+++ b/review/cell_3/worker.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr milliseconds work_period{10};
-constexpr milliseconds stop_duration{50};
 constexpr std::size_t max_listed_ends = 500;
 /// A task that lasts is at work after this time.
 constexpr milliseconds startup{200};
@@ -69,85 +68,17 @@
 worker::~worker() = default;
 
 bool worker::start() {
-    std::unique_lock lock(m_mutex);
-    std::string former = m_id;
-    if (m_id.empty() || !m_options.tells_birth) {
-        m_id = random_id();
-    }
-    m_born = std::chrono::duration_cast<milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count();
-    m_life++;
-    m_sequence = 0;
-    m_draining = false;
-    m_highest_token = 0;
-    m_deadline = 0;
-    m_last_end = 0;
-    m_clock_offset = static_cast<std::int64_t>(m_life) * 100'000;
-    m_running.clear();
-    m_closed.clear();
-    m_ends.clear();
+    std::lock_guard lock(m_mutex);
+    m_id = random_id();
     m_up = true;
     m_server = std::make_unique<http_server>(
         m_options.at, [this](const request& call) { return handle(call); });
     bool started = m_server->start();
     m_notes.note(m_options.name, "up as " + m_id);
     beat();
-    std::string present = m_id;
-    lock.unlock();
-    if (!former.empty() && former != present) {
-        // The entry of the life before is overdue later.
-        std::thread([this, former] {
-            std::this_thread::sleep_for(2 * m_heartbeat);
-            m_registry.remove("servers/" + former);
-        }).detach();
-    }
     return started;
 }
 
-void worker::crash() {
-    std::lock_guard lock(m_mutex);
-    if (!std::exchange(m_up, false)) {
-        return;
-    }
-    m_server->stop();
-    std::string lost;
-    for (const auto& [name, state] : m_running) {
-        m_runs.add(
-            {m_notes.now(), m_options.name, name.first, name.second, "lost"});
-        lost += " " + name.first + "/" + std::to_string(name.second);
-    }
-    m_running.clear();
-    m_notes.note(m_options.name, "crashes; lost:" + lost);
-    m_ended.notify_all();
-}
-
-bool worker::is_up() const {
-    std::lock_guard lock(m_mutex);
-    return m_up;
-}
-
-std::string worker::id() const {
-    std::lock_guard lock(m_mutex);
-    return m_id;
-}
-
-void worker::set_draining() {
-    std::lock_guard lock(m_mutex);
-    m_draining = true;
-    beat();
-}
-
-void worker::set_delay(delay_function delay) {
-    std::lock_guard lock(m_mutex);
-    m_delay = std::move(delay);
-}
-
-void worker::set_cpu(int cpu) {
-    std::lock_guard lock(m_mutex);
-    m_options.cpu = cpu;
-}
-
 std::size_t worker::running_count() const {
     std::lock_guard lock(m_mutex);
     return m_running.size();
@@ -156,8 +87,7 @@
 std::int64_t worker::clock() const {
     return std::chrono::duration_cast<milliseconds>(
                steady::now().time_since_epoch())
-               .count() +
-           m_clock_offset;
+        .count();
 }
 
 void worker::beat() {
@@ -168,16 +98,13 @@
         {"zone", m_options.zone},
         {"version", "v1"},
         {"slots", 8},
-        {"state", m_draining ? "draining" : "ready"},
+        {"state", "ready"},
         {"warmupLeftMs", 0},
         {"capacity",
          {{"cpu", m_options.cpu}, {"memMb", m_options.memory_mb}, {"gpu", 0}}},
         {"labels", m_options.labels},
         {"clockMs", clock()},
         {"seq", ++m_sequence}};
-    if (m_options.tells_birth) {
-        entry["born"] = m_born;
-    }
     m_registry.put("servers/" + m_id, entry.dump());
 }
 
@@ -232,10 +159,7 @@
     if (!reason.empty()) {
         out["reason"] = reason;
     }
-    if (m_options.tells_birth) {
-        out["born"] = m_born;
-    }
-    return {status, out.dump(), false};
+    return {status, out.dump()};
 }
 
 bool worker::take_token(std::uint64_t token) {
@@ -253,46 +177,9 @@
 
 response worker::handle(const request& call) {
     if (call.path == "/healthz") {
-        return {200, "{}", false};
+        return {200, "{}"};
     }
-    milliseconds delay{0};
-    std::uint64_t life = 0;
-    {
-        std::lock_guard lock(m_mutex);
-        life = m_life;
-        if (m_delay && call.method == "POST") {
-            json in = json::parse(call.body);
-            delay =
-                m_delay(call.path, in.value("task", ""), in.value("run", 0));
-        }
-    }
-    if (delay.count() > 0) {
-        m_notes.note(m_options.name, "leaves " + call.path + " " + call.body +
-                                         " unanswered for " +
-                                         std::to_string(delay.count()) + " ms");
-        std::thread([this, call, delay] {
-            std::this_thread::sleep_for(delay);
-            std::uint64_t present = 0;
-            {
-                std::lock_guard lock(m_mutex);
-                present = m_life;
-            }
-            response late = carry_out(call, present);
-            m_notes.note(m_options.name, "carries out late " + call.path + " " +
-                                             call.body + " -> " +
-                                             std::to_string(late.status) + " " +
-                                             late.body);
-        }).detach();
-        return {200, "", true};
-    }
-    return carry_out(call, life);
-}
-
-response worker::carry_out(const request& call, std::uint64_t life) {
     std::unique_lock lock(m_mutex);
-    if (!m_up || m_life != life) {
-        return {200, "", true};
-    }
     auto target = call.headers.find("x-eelgrasslever-target-instance");
     if (target != call.headers.end() && target->second != m_id) {
         return reply(421, "");
@@ -305,9 +192,9 @@
         return stop_run(call);
     }
     if (call.path == "/hold") {
-        return hold(call, lock, life);
+        return hold(call, lock);
     }
-    return {404, "{}", false};
+    return {404, "{}"};
 }
 
 response worker::start_run(const request& call) {
@@ -358,14 +245,13 @@
     if (found != m_running.end()) {
         m_notes.note(m_options.name,
                      "told to stop " + task + "/" + std::to_string(number));
-        found->second.stop_at =
-            std::min(found->second.stop_at, steady::now() + stop_duration);
+        found->second.stop_at = std::min(
+            found->second.stop_at, steady::now() + m_options.stop_duration);
     }
     return reply(200, "");
 }
 
-response worker::hold(const request& call, std::unique_lock<std::mutex>& lock,
-                      std::uint64_t life) {
+response worker::hold(const request& call, std::unique_lock<std::mutex>& lock) {
     json in = json::parse(call.body);
     if (!take_token(in.at("fencingToken"))) {
         return reply(409, "fence");
@@ -378,12 +264,7 @@
         m_ends.pop_front();
     }
     auto until = steady::now() + milliseconds(in.value("waitMs", 0));
-    m_ended.wait_until(lock, until, [&] {
-        return !m_ends.empty() || !m_up || m_life != life;
-    });
-    if (!m_up || m_life != life) {
-        return {200, "", true};
-    }
+    m_ended.wait_until(lock, until, [&] { return !m_ends.empty(); });
     json running = json::array();
     for (const auto& [name, state] : m_running) {
         auto elapsed = std::chrono::duration_cast<milliseconds>(
@@ -401,10 +282,7 @@
     json out{{"clockMs", clock()},
              {"running", std::move(running)},
              {"ended", std::move(ended)}};
-    if (m_options.tells_birth) {
-        out["born"] = m_born;
-    }
-    return {200, out.dump(), false};
+    return {200, out.dump()};
 }
 
 } // namespace review::cell
--- a/review/cell_3/worker.hpp
+++ b/review/cell_3/worker.hpp
@@ -26,7 +26,7 @@
     std::vector<std::string> labels;
     int cpu{16000};
     int memory_mb{65536};
-    bool tells_birth{false}; ///< starts again under its id, and gives `born`
+    milliseconds stop_duration{50};
 };
 
 /// A start or an end of a run, as the worker sees it.
@@ -35,7 +35,7 @@
     std::string worker;
     std::string task;
     int run{0};
-    std::string how; ///< "start", or how the run ended; "lost": in a crash
+    std::string how; ///< "start", or how the run ended
 };
 
 /// The runs of all workers.
@@ -53,9 +53,6 @@
   public:
     using course_function =
         std::function<task_course(const std::string& task, int run)>;
-    /// @return how late an order is carried out; it is not answered then.
-    using delay_function = std::function<milliseconds(
-        const std::string& path, const std::string& task, int run)>;
 
     worker(worker_options options, store& registry, record& notes,
            run_log& runs, course_function course, milliseconds max_hold,
@@ -65,15 +62,6 @@
     worker& operator=(const worker&) = delete;
 
     bool start();
-    /// Ends without a word. The entry stays until it is overdue.
-    void crash();
-    [[nodiscard]] bool is_up() const;
-    [[nodiscard]] std::string id() const;
-    [[nodiscard]] std::string name() const { return m_options.name; }
-    void set_draining();
-    void set_delay(delay_function delay);
-    void set_cpu(int cpu);
-    /// @return the processors in use, in thousandths, by the steps' own needs.
     [[nodiscard]] std::size_t running_count() const;
 
   private:
@@ -91,11 +79,9 @@
     using run_name = std::pair<std::string, int>;
 
     response handle(const request& call);
-    response carry_out(const request& call, std::uint64_t life);
     response start_run(const request& call);
     response stop_run(const request& call);
-    response hold(const request& call, std::unique_lock<std::mutex>& lock,
-                  std::uint64_t life);
+    response hold(const request& call, std::unique_lock<std::mutex>& lock);
     response reply(int status, const std::string& reason) const;
     /// @return false for a lower token than the highest one.
     bool take_token(std::uint64_t token);
@@ -116,14 +102,9 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_ended;
     std::unique_ptr<http_server> m_server;
-    delay_function m_delay;
     bool m_up{false};
-    bool m_draining{false};
-    std::uint64_t m_life{0};
     std::string m_id;
-    std::int64_t m_born{0};
     std::uint64_t m_sequence{0};
-    std::int64_t m_clock_offset{0};
     steady::time_point m_last_beat;
     std::uint64_t m_highest_token{0};
     std::int64_t m_deadline{0};
