Limits: work that never fits in a lowered limit is started alone

A job was accepted and its workspace's cap was lowered below one of its tasks. The tasks that ran ended; the others were never started, with nothing running and all workers empty.

Cause: `workspace::tasks_within` admitted only what fits whole in what is left of the cap, which a task above the cap never does, so the step stayed among the limited ones. `send_start` asked another question ("is more running than the cap?") and would have given up such a start after its placement. Steps of the same workspace that came later were held up as well, since narrow steps follow a wide one that waits.

Change: one rule in `workspace::usage`, which selection, release, placement and the check before a start all ask. A task or gang that doesn't fit in the cap even by itself is admitted while less than half of the cap is in use, if at most one of its tasks passes the cap. Nothing else is admitted beyond the cap. A gang that passes it by more keeps waiting without holding up others, as its start would break QUOTA and giving the job up would break LOST. A step that begins to wait logs `step_limited` with its need, the use and the cap.

Why it works: below half of the cap LOST asks for a start, and "`cap` x (1 + `quotaOverage`) and one task more" permits it. A step that waits for that moment keeps later ones behind it, so it comes.

The simulated fleet checks all three parts of a cap instead of the processors alone. `usage::exceeds_limit` is gone; its two checks ask `admits_placed`, which decides the same for one counted task. The unit test of `limited_steps` has the same checks with the new signatures.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -93,8 +93,10 @@
     std::optional<base::instant> beside_room_since;
     base::instant wait_reported_at{}; ///< most recently
     base::milliseconds deferral{0};   ///< length of the latest deferral
-    bool unlocked{false};             ///< all preceding steps are complete
-    std::optional<step_rank> rank;    ///< set once the step is unlocked
+    /// A line has been logged that says which limit it waits for.
+    bool is_limit_reported{false};
+    bool unlocked{false};          ///< all preceding steps are complete
+    std::optional<step_rank> rank; ///< set once the step is unlocked
 
     [[nodiscard]] bool is_complete() const {
         return done_count == static_cast<int>(tasks.size());
--- a/include/eelgrasslever/cluster/limited_steps.hpp
+++ b/include/eelgrasslever/cluster/limited_steps.hpp
@@ -17,28 +17,39 @@
 /// room nor advice nor a place in the window from other workspaces.
 class limited_steps {
   public:
-    void insert(const std::string& workspace, const step_rank& rank);
+    /// @param is_admissible whether the limit would admit the step if nothing
+    /// else of its workspace ran.
+    void insert(const std::string& workspace, const step_rank& rank,
+                bool is_admissible);
     void erase(const std::string& workspace, const step_rank& rank);
     /// @return whether a step that is not urgent has to let an earlier one of
     /// its workspace go first: otherwise narrow steps would use up the limit
-    /// whenever a wide gang waits for it.
+    /// whenever a wide gang waits for it. Inadmissible steps hold up no others.
     [[nodiscard]] bool must_follow(const std::string& workspace,
                                    const step_rank& rank) const;
+    /// What a workspace's limit leaves for its steps.
+    struct limit {
+        /// Takes what the step needs; false if that isn't left.
+        std::function<bool(const step_rank&)> admits;
+        /// Whether the step could be admitted if nothing else ran.
+        std::function<bool(const step_rank&)> is_admissible;
+    };
     /// Removes the steps that may go on.
-    /// @param admits takes what a step needs from its workspace's limit; false
-    /// if that isn't left.
     /// @return them in their order: urgent ones, and the others up to the first
-    /// that isn't admitted.
-    [[nodiscard]] std::vector<step_rank>
-    release(const std::string& workspace,
-            const std::function<bool(const step_rank&)>& admits);
+    /// that has to wait.
+    [[nodiscard]] std::vector<step_rank> release(const std::string& workspace,
+                                                 const limit& left);
     [[nodiscard]] std::vector<std::string> workspaces() const;
     [[nodiscard]] std::size_t count(const std::string& workspace) const;
     /// Calls @p visit with each step.
     void for_each(const std::function<void(const step_rank&)>& visit) const;
 
   private:
-    std::map<std::string, std::set<step_rank>> m_steps; ///< by workspace
+    struct steps {
+        std::set<step_rank> waiting;
+        std::set<step_rank> inadmissible; ///< until the limit is raised
+    };
+    std::map<std::string, steps> m_steps; ///< by workspace
 };
 
 } // namespace eelgrasslever::cluster
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -169,12 +169,23 @@
     void add_run(endpoint_state& endpoint, const run_key& key, allocation run);
     /// Judges a new job by its workspace's rate.
     void note_arrival(tracked_job& job);
+    /// @return what has to fit in the limit of the step's workspace before any
+    /// of its waiting tasks may start.
+    [[nodiscard]] static workspace::demand
+    limit_demand(const workload::step& spec, int waiting);
     /// @return whether the step has to wait for its workspace's limit.
     [[nodiscard]] bool is_over_limit(const tracked_job& job,
                                      const step_rank& rank,
                                      const step_execution& step) const;
+    /// Keeps a step until its workspace's limit leaves room for it.
+    void limit_step(const tracked_job& job, const step_rank& rank,
+                    step_execution& step);
     /// Queues the steps again for which their workspaces' limits leave room.
     void resume_limited_steps();
+    /// @return whether the limit of the job's workspace still admits the run,
+    /// which is placed but not started.
+    [[nodiscard]] bool is_within_limit(const tracked_job& job,
+                                       const run_key& key) const;
 
     // Queues.
     /// @return the policy that the latest known configuration gives the job.
--- a/include/eelgrasslever/workspace/usage.hpp
+++ b/include/eelgrasslever/workspace/usage.hpp
@@ -10,8 +10,20 @@
 
 namespace eelgrasslever::workspace {
 
-/// Counts the runs that are or may be alive. Work without a workspace, and work
-/// of a workspace that the configuration doesn't name, has no limit.
+/// Tasks of one step that wait for a part of their workspace's limit.
+struct demand {
+    base::resources need; ///< of one task
+    int count{1};
+    bool at_once{false}; ///< all of them start together, or none
+};
+
+/// Counts the runs that are or may be alive, and decides what may be started
+/// beside them. Work without a workspace, and work of a workspace that the
+/// configuration doesn't name, has no limit.
+///
+/// What never fits within the limit, because that was lowered after the job was
+/// accepted, is admitted while less than half of the limit is in use, if at
+/// most one of its tasks passes the limit.
 class usage {
   public:
     /// Replaces the limits. Work that is already counted stays.
@@ -32,9 +44,17 @@
     [[nodiscard]] int tasks_allowed(const std::string& workspace,
                                     const base::resources& need,
                                     int wanted) const;
-    /// @return whether more runs than the limit admits. It may after the limit
-    /// has been lowered.
-    [[nodiscard]] bool exceeds_limit(const std::string& workspace) const;
+    /// @return whether @p asked may be started beside what runs: all of it if
+    /// its tasks start together, else at least one task.
+    [[nodiscard]] bool admits(const std::string& workspace,
+                              const demand& asked) const;
+    /// Likewise for tasks that have been placed, and so are counted already,
+    /// but whose starts have not been sent. The limit may have been lowered.
+    [[nodiscard]] bool admits_placed(const std::string& workspace,
+                                     const demand& placed) const;
+    /// @return whether the limit would admit @p asked if nothing else ran.
+    [[nodiscard]] bool is_admissible(const std::string& workspace,
+                                     const demand& asked) const;
 
   private:
     /// @return the workspace's limits, or nullptr if it has none.
@@ -45,10 +65,10 @@
     std::map<std::string, base::resources> m_running;
 };
 
-/// @return how many of @p wanted tasks of @p need fit in @p cap beside
-/// @p running; a component of 0 in @p cap does not limit.
-[[nodiscard]] int tasks_within(const base::resources& cap,
-                               const base::resources& running,
-                               const base::resources& need, int wanted);
+/// @return whether @p asked may be started beside @p running; a component of 0
+/// in @p cap does not limit.
+[[nodiscard]] bool is_within(const base::resources& cap,
+                             const base::resources& running,
+                             const demand& asked);
 
 } // namespace eelgrasslever::workspace
--- a/src/cluster/scheduler_limits.cpp
+++ b/src/cluster/scheduler_limits.cpp
@@ -1,5 +1,6 @@
 // The limits and shares of workspaces.
 #include "eelgrasslever/cluster/scheduler.hpp"
+#include "eelgrasslever/observe/log.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -30,6 +31,11 @@
     }
 }
 
+workspace::demand scheduler::limit_demand(const workload::step& spec,
+                                          int waiting) {
+    return {spec.need, spec.gang ? waiting : 1, spec.gang};
+}
+
 bool scheduler::is_over_limit(const tracked_job& job, const step_rank& rank,
                               const step_execution& step) const {
     const std::string& owner = job.execution->job().workspace;
@@ -43,37 +49,87 @@
         // Members of an earlier run are to be stopped, whatever the limit.
         return false;
     }
-    int needed = spec.gang ? unfinished : 1;
-    return m_usage.tasks_allowed(owner, spec.need, needed) < needed ||
+    return !m_usage.admits(owner, limit_demand(spec, unfinished)) ||
            m_limited_steps.must_follow(owner, rank);
 }
 
+bool scheduler::is_within_limit(const tracked_job& job,
+                                const run_key& key) const {
+    const workload::job& spec = job.execution->job();
+    const workload::step& step =
+        spec.steps[static_cast<std::size_t>(key.task.step)];
+    const step_execution* state =
+        job.execution->find_step(key.task.occurrence, key.task.step);
+    return m_usage.admits_placed(
+        spec.workspace, limit_demand(step, step.count - state->done_count));
+}
+
+void scheduler::limit_step(const tracked_job& job, const step_rank& rank,
+                           step_execution& step) {
+    const workload::job& spec = job.execution->job();
+    const workload::step& limited =
+        spec.steps[static_cast<std::size_t>(rank.step)];
+    bool is_admissible = m_usage.is_admissible(
+        spec.workspace, limit_demand(limited, step.waiting_count));
+    m_limited_steps.insert(spec.workspace, rank, is_admissible);
+    if (std::exchange(step.is_limit_reported, true)) {
+        return;
+    }
+    base::resources used = m_usage.running(spec.workspace);
+    base::resources cap = m_workspaces->find(spec.workspace)->cap;
+    observe::log_event(
+        "step_limited",
+        {{"step", workload::to_string(
+                      task_key{rank.job, rank.occurrence, rank.step, 0})},
+         {"workspace", spec.workspace},
+         {"why", is_admissible ? "limit in use" : "larger than the limit"},
+         {"waiting", std::to_string(step.waiting_count)},
+         {"need_cpu", std::to_string(limited.need.cpu_milli)},
+         {"need_memory_mb", std::to_string(limited.need.memory_mb)},
+         {"need_accelerators", std::to_string(limited.need.accelerators)},
+         {"used_cpu", std::to_string(used.cpu_milli)},
+         {"used_memory_mb", std::to_string(used.memory_mb)},
+         {"used_accelerators", std::to_string(used.accelerators)},
+         {"cap_cpu", std::to_string(cap.cpu_milli)},
+         {"cap_memory_mb", std::to_string(cap.memory_mb)},
+         {"cap_accelerators", std::to_string(cap.accelerators)}});
+}
+
 void scheduler::resume_limited_steps() {
     for (const std::string& owner : m_limited_steps.workspaces()) {
         base::resources granted;
-        auto admits = [&](const step_rank& rank) {
+        auto spec_of = [&](const step_rank& rank) -> const workload::step& {
+            return find_job(rank.job)
+                ->execution->job()
+                .steps[static_cast<std::size_t>(rank.step)];
+        };
+        limited_steps::limit left;
+        left.admits = [&](const step_rank& rank) {
             const step_execution* step = find_step(rank);
             if (step == nullptr) {
                 return true; // has ended; the queue drops it
             }
-            const workload::step& spec =
-                find_job(rank.job)
-                    ->execution->job()
-                    .steps[static_cast<std::size_t>(rank.step)];
-            int wanted = step->waiting_count;
-            int needed = spec.gang ? wanted : 1;
+            const workload::step& spec = spec_of(rank);
+            workspace::demand asked = limit_demand(spec, step->waiting_count);
             m_usage.add(owner, granted);
-            int allowed = m_usage.tasks_allowed(owner, spec.need, wanted);
+            bool admitted = m_usage.admits(owner, asked);
+            int tasks = asked.at_once
+                            ? asked.count
+                            : m_usage.tasks_allowed(owner, spec.need,
+                                                    step->waiting_count);
             m_usage.remove(owner, granted);
-            if (allowed < needed) {
-                return false;
-            }
-            for (int i = 0; i < allowed; ++i) {
+            for (int i = 0; admitted && i < tasks; ++i) {
                 granted += spec.need;
             }
-            return true;
+            return admitted;
+        };
+        left.is_admissible = [&](const step_rank& rank) {
+            const step_execution* step = find_step(rank);
+            return step == nullptr ||
+                   m_usage.is_admissible(
+                       owner, limit_demand(spec_of(rank), step->waiting_count));
         };
-        for (const step_rank& rank : m_limited_steps.release(owner, admits)) {
+        for (const step_rank& rank : m_limited_steps.release(owner, left)) {
             if (tracked_job* job = find_job(rank.job)) {
                 enqueue(*job, rank.occurrence, rank.step);
             }
--- a/src/cluster/scheduler_placement.cpp
+++ b/src/cluster/scheduler_placement.cpp
@@ -214,7 +214,7 @@
             } else if (outcome == placement_outcome::limited) {
                 any_blocked = true;
                 m_ready.erase(rank);
-                m_limited_steps.insert(job->execution->job().workspace, rank);
+                limit_step(*job, rank, *step);
             }
         }
     }
@@ -782,10 +782,8 @@
         queue.advice.has_value() && run.ticket_valid_until < now;
     // The endpoint may have shrunk since the placement.
     bool has_room = base::fits(endpoint.used, endpoint.listing.capacity);
-    // The limit may have been lowered since.
-    bool is_limited = m_usage.exceeds_limit(job.execution->job().workspace);
     if (job.execution->has_ended() || !may_run_there || ticket_expired ||
-        !has_room || is_limited || !is_usable(endpoint, now)) {
+        !has_room || !is_within_limit(job, key) || !is_usable(endpoint, now)) {
         abandon_run(endpoint, key, now);
         return;
     }
--- a/src/workspace/usage.cpp
+++ b/src/workspace/usage.cpp
@@ -6,21 +6,36 @@
 
 namespace {
 
+/// @return whether @p count tasks of @p need may start together.
+bool is_amount_within(std::int64_t cap, std::int64_t running, std::int64_t need,
+                      std::int64_t count) {
+    if (cap <= 0 || need <= 0) {
+        return true;
+    }
+    // Divisions, as products may overflow.
+    std::int64_t left = std::max<std::int64_t>(0, cap - running);
+    if (need <= left / count) {
+        return true;
+    }
+    bool never_fits = need > cap / count;
+    bool is_half_free = running < cap - running;
+    bool only_one_passes = count == 1 || need <= left / (count - 1);
+    return never_fits && is_half_free && only_one_passes;
+}
+
+/// @return how many of @p wanted tasks of @p need may start one by one.
 int tasks_by_amount(std::int64_t cap, std::int64_t running, std::int64_t need,
                     int wanted) {
     if (cap <= 0 || need <= 0) {
         return wanted;
     }
     std::int64_t left = std::max<std::int64_t>(0, cap - running);
-    return static_cast<int>(std::min<std::int64_t>(wanted, left / need));
+    std::int64_t fitting = std::min<std::int64_t>(wanted, left / need);
+    bool passes =
+        fitting == 0 && wanted > 0 && is_amount_within(cap, running, need, 1);
+    return passes ? 1 : static_cast<int>(fitting);
 }
 
-bool is_above(std::int64_t cap, std::int64_t running) {
-    return cap > 0 && running > cap;
-}
-
-} // namespace
-
 int tasks_within(const base::resources& cap, const base::resources& running,
                  const base::resources& need, int wanted) {
     int result = tasks_by_amount(cap.cpu_milli, running.cpu_milli,
@@ -31,6 +46,19 @@
                            need.accelerators, result);
 }
 
+} // namespace
+
+bool is_within(const base::resources& cap, const base::resources& running,
+               const demand& asked) {
+    std::int64_t count = asked.at_once ? std::max(1, asked.count) : 1;
+    return is_amount_within(cap.cpu_milli, running.cpu_milli,
+                            asked.need.cpu_milli, count) &&
+           is_amount_within(cap.memory_mb, running.memory_mb,
+                            asked.need.memory_mb, count) &&
+           is_amount_within(cap.accelerators, running.accelerators,
+                            asked.need.accelerators, count);
+}
+
 void usage::add(const std::string& workspace, const base::resources& amount) {
     if (!workspace.empty()) {
         m_running[workspace] += amount;
@@ -69,15 +97,28 @@
                : tasks_within(*cap, running(workspace), need, wanted);
 }
 
-bool usage::exceeds_limit(const std::string& workspace) const {
+bool usage::admits(const std::string& workspace, const demand& asked) const {
+    const base::resources* cap = cap_of(workspace);
+    return cap == nullptr || is_within(*cap, running(workspace), asked);
+}
+
+bool usage::admits_placed(const std::string& workspace,
+                          const demand& placed) const {
     const base::resources* cap = cap_of(workspace);
     if (cap == nullptr) {
-        return false;
+        return true;
+    }
+    base::resources others = running(workspace);
+    for (int i = 0; i < (placed.at_once ? placed.count : 1); ++i) {
+        others -= placed.need;
     }
-    base::resources used = running(workspace);
-    return is_above(cap->cpu_milli, used.cpu_milli) ||
-           is_above(cap->memory_mb, used.memory_mb) ||
-           is_above(cap->accelerators, used.accelerators);
+    return is_within(*cap, others, placed);
+}
+
+bool usage::is_admissible(const std::string& workspace,
+                          const demand& asked) const {
+    const base::resources* cap = cap_of(workspace);
+    return cap == nullptr || is_within(*cap, {}, asked);
 }
 
 } // namespace eelgrasslever::workspace
--- a/tests/cluster/workspace_limits_test.cpp
+++ b/tests/cluster/workspace_limits_test.cpp
@@ -191,21 +191,44 @@
 
 BOOST_AUTO_TEST_CASE(later_steps_follow_the_first_that_is_not_admitted) {
     cluster::limited_steps steps;
-    steps.insert("w", rank("gang", 1));
-    steps.insert("w", rank("narrow", 2));
-    steps.insert("w", rank("urgent", 3, 0));
+    auto always = [](const step_rank&) { return true; };
+    steps.insert("w", rank("gang", 1), true);
+    steps.insert("w", rank("narrow", 2), true);
+    steps.insert("w", rank("urgent", 3, 0), true);
     BOOST_TEST(steps.must_follow("w", rank("later", 9)));
     BOOST_TEST(!steps.must_follow("w", rank("earlier", 0)));
     BOOST_TEST(!steps.must_follow("w", rank("urgent-later", 9, 0)));
     BOOST_TEST(!steps.must_follow("other", rank("later", 9)));
     auto released = steps.release(
-        "w", [](const step_rank& it) { return it.job != "gang"; });
+        "w", {[](const step_rank& it) { return it.job != "gang"; }, always});
     BOOST_REQUIRE(released.size() == 1u);
     BOOST_TEST(released.front().job == "urgent");
     BOOST_TEST(steps.count("w") == 2u);
-    released = steps.release("w", [](const step_rank&) { return true; });
+    released = steps.release("w", {always, always});
     BOOST_TEST(released.size() == 2u);
     BOOST_TEST(steps.workspaces().empty());
 }
 
+// A step that its limit can't admit at all held up those that came later.
+BOOST_AUTO_TEST_CASE(inadmissible_steps_hold_up_no_others) {
+    cluster::limited_steps steps;
+    auto always = [](const step_rank&) { return true; };
+    auto not_wide = [](const step_rank& it) { return it.job != "wide"; };
+    steps.insert("w", rank("wide", 1), false);
+    BOOST_TEST(!steps.must_follow("w", rank("later", 9)));
+    steps.insert("w", rank("narrow", 2), true);
+    auto released = steps.release("w", {not_wide, not_wide});
+    BOOST_REQUIRE(released.size() == 1u);
+    BOOST_TEST(released.front().job == "narrow");
+    BOOST_TEST(steps.count("w") == 1u);
+    // The limit is raised.
+    BOOST_TEST(steps.release("w", {not_wide, always}).empty());
+    BOOST_TEST(steps.must_follow("w", rank("later", 9)));
+    // And lowered.
+    BOOST_TEST(steps.release("w", {not_wide, not_wide}).empty());
+    BOOST_TEST(!steps.must_follow("w", rank("later", 9)));
+    steps.erase("w", rank("wide", 1));
+    BOOST_TEST(steps.count("w") == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/reconfiguration/reconfiguration_test.cpp
+++ b/tests/reconfiguration/reconfiguration_test.cpp
@@ -2,6 +2,7 @@
 // with the system's own processes and the stand-ins of `review/platform_cell`.
 #include "cell.hpp"
 #include "environment.hpp"
+#include "working_folder.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -36,35 +37,6 @@
 /// that the cell writes.
 constexpr int finish_bound_ms = 14'000;
 
-/// A folder that holds the program where the cell looks for it, as the working
-/// directory.
-class working_folder {
-  public:
-    working_folder() {
-        const char* other = std::getenv("EEL_PLATFORM_PROGRAM");
-        std::filesystem::create_directories(m_folder + "/target");
-        std::filesystem::create_symlink(
-            other == nullptr ? EEL_PLATFORM_PROGRAM : other,
-            m_folder + "/target/eelgrasslever-platformd");
-        std::filesystem::current_path(m_folder);
-    }
-    ~working_folder() {
-        std::filesystem::current_path(m_former);
-        std::filesystem::remove_all(m_folder);
-    }
-    working_folder(const working_folder&) = delete;
-    working_folder& operator=(const working_folder&) = delete;
-
-  private:
-    static std::string make_folder() {
-        std::string name =
-            std::filesystem::temp_directory_path() / "reconfigurationXXXXXX";
-        return mkdtemp(name.data());
-    }
-    std::string m_folder{make_folder()};
-    std::filesystem::path m_former{std::filesystem::current_path()};
-};
-
 /// Two services of four endpoints. "full" is occupied by tasks of the queue
 /// "occupant"; the queue "moved" is sent from it to "idle".
 struct fixture {
@@ -163,7 +135,7 @@
         }
     }
 
-    working_folder folder;
+    eelgrasslever::test::working_folder folder;
     queue occupant{"occupant", "desk.example", "/occupant/", "full"};
     queue visitor{"visitor", "desk.example", "/visitor/", "idle"};
     queue moved{"moved", "desk.example", "/moved/", "full"};
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -535,15 +535,24 @@
     if (!m_workspaces || m_workspaces->find(name) == nullptr) {
         return;
     }
-    std::int64_t cap = m_workspaces->find(name)->cap.cpu_milli;
-    if (m_former_workspaces && m_former_workspaces->find(name) != nullptr &&
-        m_now - m_workspaces_since < lowering_delay) {
-        cap = std::max(cap, m_former_workspaces->find(name)->cap.cpu_milli);
-    }
-    // The start itself is the one task more.
-    if (cap > 0 && running(name).cpu_milli > cap * allowed_percent / 100) {
-        add_violation("exceeds the limit of " + name + ": " +
-                      workload::to_string(order.task));
+    const workspace::policy* former =
+        m_former_workspaces && m_now - m_workspaces_since < lowering_delay
+            ? m_former_workspaces->find(name)
+            : nullptr;
+    base::resources used = running(name);
+    for (auto part : {&base::resources::cpu_milli, &base::resources::memory_mb,
+                      &base::resources::accelerators}) {
+        std::int64_t cap = m_workspaces->find(name)->cap.*part;
+        if (former != nullptr) {
+            cap = cap == 0 || former->cap.*part == 0
+                      ? 0
+                      : std::max(cap, former->cap.*part);
+        }
+        // The start itself is the one task more.
+        if (cap > 0 && used.*part > cap * allowed_percent / 100) {
+            add_violation("exceeds the limit of " + name + ": " +
+                          workload::to_string(order.task));
+        }
     }
 }
 
--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -4,6 +4,7 @@
 #include "eelgrasslever/workspace/usage.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace eelgrasslever;
 using workspace::configuration_validity;
@@ -104,14 +105,73 @@
     workspace::usage usage;
     usage.set_limits(std::make_shared<const directory>(make_policies()));
     usage.add("office", cpu(9000));
-    BOOST_TEST(!usage.exceeds_limit("office"));
+    BOOST_TEST(usage.admits_placed("office", {cpu(3000)}));
     usage.set_limits(std::make_shared<const directory>(
         std::vector{make_policy("office", 5000)}));
-    BOOST_TEST(usage.exceeds_limit("office"));
+    BOOST_TEST(!usage.admits_placed("office", {cpu(3000)}));
     BOOST_TEST(usage.tasks_allowed("office", cpu(1), 9) == 0);
     BOOST_TEST(usage.running("office").cpu_milli == 9000);
 }
 
+// A limit that became smaller than a task kept the task from starting for good,
+// whichever of the limit's parts that was.
+BOOST_AUTO_TEST_CASE(task_larger_than_a_lowered_limit_is_admitted_alone) {
+    using part = std::int64_t base::resources::*;
+    for (part of : {&base::resources::cpu_milli, &base::resources::memory_mb,
+                    &base::resources::accelerators}) {
+        auto amount = [of](std::int64_t value) {
+            base::resources result;
+            result.*of = value;
+            return result;
+        };
+        workspace::policy policy = make_policy("office", 0);
+        policy.cap = amount(4);
+        workspace::usage usage;
+        usage.set_limits(
+            std::make_shared<const directory>(std::vector{policy}));
+        BOOST_TEST(usage.tasks_allowed("office", amount(6), 3) == 1);
+        BOOST_TEST(usage.tasks_allowed("office", amount(6), 0) == 0);
+        usage.add("office", amount(1));
+        BOOST_TEST(usage.tasks_allowed("office", amount(6), 3) == 1);
+        // It fits once the other one has ended.
+        BOOST_TEST(usage.tasks_allowed("office", amount(4), 3) == 0);
+        usage.add("office", amount(1));
+        BOOST_TEST(usage.tasks_allowed("office", amount(6), 3) == 0);
+        BOOST_TEST(usage.tasks_allowed("office", amount(2), 3) == 1);
+        usage.remove("office", amount(2));
+        usage.add("office", amount(6));
+        BOOST_TEST(usage.admits_placed("office", {amount(6)}));
+        BOOST_TEST(usage.tasks_allowed("office", amount(6), 3) == 0);
+        BOOST_TEST(usage.tasks_allowed("office", amount(1), 3) == 0);
+        usage.add("office", amount(6));
+        BOOST_TEST(!usage.admits_placed("office", {amount(6)}));
+    }
+}
+
+// A gang that passed the limit by more than one of its members was started, or
+// one that passes it by less was not.
+BOOST_AUTO_TEST_CASE(gang_passes_a_lowered_limit_by_one_member_at_most) {
+    workspace::usage usage;
+    usage.set_limits(std::make_shared<const directory>(
+        std::vector{make_policy("office", 4000)}));
+    BOOST_TEST(usage.admits("office", {cpu(3000), 2, true}));
+    BOOST_TEST(usage.admits("office", {cpu(1000), 5, true}));
+    BOOST_TEST(!usage.admits("office", {cpu(3000), 3, true}));
+    BOOST_TEST(!usage.is_admissible("office", {cpu(3000), 3, true}));
+    BOOST_TEST(!usage.admits("office", {cpu(5000), 2, true}));
+    usage.add("office", cpu(1000));
+    BOOST_TEST(usage.admits("office", {cpu(3000), 2, true}));
+    BOOST_TEST(!usage.admits("office", {cpu(1000), 5, true}));
+    BOOST_TEST(usage.is_admissible("office", {cpu(1000), 5, true}));
+    usage.add("office", cpu(1000));
+    BOOST_TEST(!usage.admits("office", {cpu(3000), 2, true}));
+    usage.remove("office", cpu(2000));
+    usage.add("office", cpu(6000));
+    BOOST_TEST(usage.admits_placed("office", {cpu(3000), 2, true}));
+    constexpr std::int64_t huge = std::numeric_limits<std::int64_t>::max();
+    BOOST_TEST(!usage.admits("office", {cpu(huge), 4096, true}));
+}
+
 // One workspace floods: what it sends beyond its rate is told apart, and the
 // others' jobs are not.
 BOOST_AUTO_TEST_CASE(jobs_beyond_the_rate_are_surplus) {
