Gangs: other runs are stopped once an earlier one has completed the gang

Cause: a gang was started again after its first run was considered lost. The first run then came back as done and ended the job. Single tasks stop their other runs then, gangs did not: the second run, on an endpoint that hung, counted against the workspace's limit for good.

Change: the end that completes a gang stops the gang's other runs.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -233,6 +233,9 @@
     void stop_matching_runs(const std::function<bool(const run_key&)>& matches,
                             base::instant now);
     void stop_gang(const task_key& member, int run, base::instant now);
+    /// Stops all runs of the member's gang but one.
+    void stop_other_gang_runs(const task_key& member, int run,
+                              base::instant now);
     tracked_job* find_job(const std::string& id);
     [[nodiscard]] const step_execution* find_step(const step_rank& rank) const;
     [[nodiscard]] bool is_gang(const task_key& key);
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -434,6 +434,18 @@
         now);
 }
 
+// An earlier run may have completed the gang after it was started again.
+void scheduler::stop_other_gang_runs(const task_key& member, int run,
+                                     base::instant now) {
+    stop_matching_runs(
+        [&](const run_key& key) {
+            return key.run != run && key.task.job == member.job &&
+                   key.task.occurrence == member.occurrence &&
+                   key.task.step == member.step;
+        },
+        now);
+}
+
 void scheduler::stop_matching_runs(
     const std::function<bool(const run_key&)>& matches, base::instant now) {
     for (const auto& [name, key] : find_runs(matches)) {
@@ -455,6 +467,9 @@
     if (completion.outcome == task_outcome::done && !spec.long_running) {
         m_health.on_run_done(endpoint.listing.id);
         if (spec.gang) {
+            if (task->live_runs > 0) {
+                stop_other_gang_runs(completion.task, completion.run, now);
+            }
             for (int i = 0; i < spec.count; ++i) {
                 task_key member = completion.task;
                 member.index = i;
--- a/tests/cluster/lowered_limit_test.cpp
+++ b/tests/cluster/lowered_limit_test.cpp
@@ -41,16 +41,17 @@
         fleet.set_workspaces({policy});
     }
     /// @return a job of one step.
-    static workload::job make(const std::string& id, int count,
-                              std::int64_t cpu_milli) {
+    [[nodiscard]] workload::job make(const std::string& id, int count,
+                                     std::int64_t cpu_milli) const {
         workload::job job = make_job(id, count, cpu_milli);
         job.workspace = "w";
         job.queue.priority = 1;
+        job.queue.advice = advice;
         return job;
     }
     /// @return a job whose second step takes its turn when the first has ended.
-    static workload::job make_second(const std::string& id, int count,
-                                     std::int64_t cpu_milli) {
+    [[nodiscard]] workload::job make_second(const std::string& id, int count,
+                                            std::int64_t cpu_milli) const {
         workload::job job = make(id, 1, 1000);
         workload::step next;
         next.count = count;
@@ -78,6 +79,7 @@
         return fleet.running("w").cpu_milli;
     }
 
+    std::optional<workload::advice_policy> advice; ///< of the queue
     fake_fleet fleet{1, {}};
 };
 
@@ -165,6 +167,21 @@
     BOOST_TEST(fleet.run_until_jobs_end(20 * second));
 }
 
+// The larger task also asks for advice once its turn has come.
+BOOST_AUTO_TEST_CASE(small_jobs_leave_a_larger_task_its_turn_beside_advice) {
+    fleet.advice_duration = [](const cluster::advice_call&) {
+        return base::milliseconds(300);
+    };
+    advice = workload::advice_policy{base::milliseconds(300),
+                                     std::chrono::microseconds(0), 2 * second};
+    fleet.submit(make_second("a", 1, 6000));
+    fleet.run_for(second);
+    set_cap(4000);
+    submit_small_jobs(30, 1000);
+    BOOST_TEST(has_completed("a"));
+    BOOST_TEST(fleet.run_until_jobs_end(20 * second));
+}
+
 // No start of the gang keeps the platform's rule, and a job may not be given up
 // for that. It held up all later jobs of its workspace.
 BOOST_AUTO_TEST_CASE(gang_far_larger_than_the_limit_holds_up_no_others) {
--- a/tests/cluster/random_fleet_test.cpp
+++ b/tests/cluster/random_fleet_test.cpp
@@ -366,6 +366,14 @@
     }
 }
 
+// A gang was started again, and its earlier run completed it. The later one,
+// which hung, was not stopped and held its workspace's limit for good.
+BOOST_AUTO_TEST_CASE(limit_scenario_that_failed_once_ends) {
+    constexpr std::uint64_t seed = 82;
+    auto result = random_scenario(seed, {.workspaces = true}).run();
+    BOOST_TEST(result.open_jobs == "");
+}
+
 // Limits became smaller than tasks and gangs, and jobs were cancelled just
 // before a takeover: work beyond the limits was started, or jobs never ended.
 BOOST_AUTO_TEST_CASE(random_scenarios_keep_limits_smaller_than_their_work) {
