Scheduler: runs of ended jobs in a file of their own; limits logged on change

No change of decisions. `step_limited` is logged again when the limit has become smaller or larger than the step, which the line of its first wait did not show.

--- a/include/eelgrasslever/cluster/job_execution.hpp
+++ b/include/eelgrasslever/cluster/job_execution.hpp
@@ -93,8 +93,8 @@
     std::optional<base::instant> beside_room_since;
     base::instant wait_reported_at{}; ///< most recently
     base::milliseconds deferral{0};   ///< length of the latest deferral
-    /// A line has been logged that says which limit it waits for.
-    bool is_limit_reported{false};
+    /// Whether its workspace's limit could admit it, as it was logged last.
+    std::optional<bool> reported_as_admissible;
     bool unlocked{false};          ///< all preceding steps are complete
     std::optional<step_rank> rank; ///< set once the step is unlocked
 
@@ -212,8 +212,6 @@
     void finish(workload::job_state state, const std::string& reason);
     /// Names the runs of the ended job that may still be alive.
     void set_remaining_runs(std::map<std::string, workload::placement> runs);
-    /// @return how many runs of all tasks are or may be alive.
-    [[nodiscard]] int count_live_runs() const;
     /// @return whether all occurrences, including future ones, are complete.
     [[nodiscard]] bool all_occurrences_complete() const;
 
--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -185,6 +185,10 @@
     /// Keeps a step until its workspace's limit leaves room for it.
     void limit_step(const tracked_job& job, const step_rank& rank,
                     step_execution& step);
+    /// Logs that a step waits for the limit, or that the limit has become
+    /// smaller or larger than the step.
+    void report_limited(const tracked_job& job, const step_rank& rank,
+                        step_execution& step, bool is_admissible) const;
     /// Queues the steps again for which their workspaces' limits leave room.
     void resume_limited_steps();
     /// @return whether the limit of the job's workspace still admits the run,
@@ -217,9 +221,6 @@
     endpoint_state& inherit_run(const run_key& key,
                                 const workload::placement& placed,
                                 allocation run, base::instant now);
-    /// Names the runs of the ended job in its record that may still be alive.
-    void record_remaining_runs(tracked_job& job);
-    void send_settled_records(base::instant now);
     /// @return how long ago the job was accepted, by the wall clock.
     [[nodiscard]] base::milliseconds age_of(const workload::job& job) const;
     void send_recorded_starts(tracked_job& job, base::instant now);
@@ -240,6 +241,21 @@
     [[nodiscard]] const step_execution* find_step(const step_rank& rank) const;
     [[nodiscard]] bool is_gang(const task_key& key);
 
+    // Ended jobs.
+    /// Names the runs of the ended job in its record that may still be alive.
+    void record_remaining_runs(tracked_job& job);
+    /// Goes on counting the runs that the job's stored record names.
+    void keep_remaining_runs(const tracked_job& job);
+    /// Stores the records of ended jobs of which no run is left.
+    void send_settled_records(base::instant now);
+    /// What a run needs, and whose limit it counts against.
+    struct run_owner {
+        std::optional<base::resources> need; ///< unset: not known
+        std::string workspace;               ///< empty: none, or not known
+    };
+    /// @return the owner of a run of an open job, or of one that ended lately.
+    [[nodiscard]] run_owner find_owner(const task_key& task) const;
+
     // Endpoints.
     /// @return the endpoint, which is added if it is not known.
     endpoint_state& add_endpoint(const std::string& id, base::instant now);
@@ -276,12 +292,6 @@
                               base::instant now);
     void adopt_run(endpoint_state& endpoint, const running_task& row,
                    base::instant now);
-    /// What a run needs, and whose limit it counts against.
-    struct run_owner {
-        std::optional<base::resources> need; ///< unset: not known
-        std::string workspace;               ///< empty: none, or not known
-    };
-    [[nodiscard]] run_owner find_owner(const task_key& task) const;
     /// Lets runs whose need is not known hold the whole endpoint.
     void update_unknown_needs(endpoint_state& endpoint);
     /// Requeues runs that the endpoint should have reported and did not.
--- a/include/eelgrasslever/workload/progress.hpp
+++ b/include/eelgrasslever/workload/progress.hpp
@@ -78,4 +78,8 @@
     friend bool operator==(const progress&, const progress&) = default;
 };
 
+/// Sets the workspace and the needs in the progress of a job that ends. Jobs
+/// without a workspace leave both empty.
+void name_owner(progress& ended, const job& spec);
+
 } // namespace eelgrasslever::workload
--- a/src/cluster/job_execution.cpp
+++ b/src/cluster/job_execution.cpp
@@ -487,12 +487,7 @@
     m_progress.state = state;
     m_progress.failure_reason = reason;
     m_progress.placements.clear();
-    m_progress.workspace = m_job->workspace;
-    if (!m_job->workspace.empty()) {
-        for (const workload::step& step : m_job->steps) {
-            m_progress.step_needs.push_back(step.need);
-        }
-    }
+    workload::name_owner(m_progress, *m_job);
     m_version++;
 }
 
@@ -502,18 +497,6 @@
     m_version++;
 }
 
-int job_execution::count_live_runs() const {
-    int count = 0;
-    for (const auto& [number, occurrence] : m_occurrences) {
-        for (const step_execution& step : occurrence.steps) {
-            for (const task_execution& task : step.tasks) {
-                count += task.live_runs;
-            }
-        }
-    }
-    return count;
-}
-
 bool job_execution::all_occurrences_complete() const {
     int total = std::max(1, m_job->repeat_count);
     if (m_next_occurrence < total) {
--- a/src/cluster/scheduler_endpoints.cpp
+++ b/src/cluster/scheduler_endpoints.cpp
@@ -479,27 +479,6 @@
     schedule_record(*job, now);
 }
 
-scheduler::run_owner scheduler::find_owner(const task_key& task) const {
-    auto at = static_cast<std::size_t>(task.step);
-    auto job = m_jobs.find(task.job);
-    if (job != m_jobs.end()) {
-        const workload::job& spec = job->second.execution->job();
-        bool has_step = task.step >= 0 && at < spec.steps.size();
-        return {has_step ? std::optional(spec.steps[at].need) : std::nullopt,
-                spec.workspace};
-    }
-    const workload::progress* record = m_remaining_runs.find(task.job);
-    if (record == nullptr) {
-        record = m_effects.find_ended_job(task.job);
-    }
-    if (record == nullptr) {
-        return {};
-    }
-    bool has_step = task.step >= 0 && at < record->step_needs.size();
-    return {has_step ? std::optional(record->step_needs[at]) : std::nullopt,
-            record->workspace};
-}
-
 // The registry entry, and with it the capacity, may be read after the first
 // list of runs.
 void scheduler::update_unknown_needs(endpoint_state& endpoint) {
--- a/src/cluster/scheduler_jobs.cpp
+++ b/src/cluster/scheduler_jobs.cpp
@@ -129,56 +129,6 @@
     return endpoint;
 }
 
-void scheduler::on_ended_job(const std::string& id,
-                             const workload::progress& record,
-                             base::instant now) {
-    if (record.workspace.empty() || record.placements.empty() ||
-        m_jobs.contains(id)) {
-        return;
-    }
-    m_remaining_runs.add(id, record, 0);
-    for (const auto& [name, placed] : record.placements) {
-        auto task = workload::parse_task_key(id + "." + name);
-        if (!task) {
-            continue;
-        }
-        run_owner owner = find_owner(*task);
-        allocation run;
-        run.is_need_known = owner.need.has_value();
-        run.need = owner.need.value_or(base::resources{});
-        run.workspace = owner.workspace;
-        run.expected_end = now;
-        run_key key{*task, placed.run};
-        endpoint_state& endpoint = inherit_run(key, placed, run, now);
-        update_unknown_needs(endpoint);
-        stop_run(endpoint, key, now);
-    }
-}
-
-void scheduler::record_remaining_runs(tracked_job& job) {
-    const workload::job& spec = job.execution->job();
-    if (spec.workspace.empty() || job.execution->count_live_runs() == 0) {
-        return;
-    }
-    std::map<std::string, workload::placement> remaining;
-    for (const auto& [id, key] :
-         find_runs([&](const run_key& it) { return it.task.job == spec.id; })) {
-        const endpoint_state& endpoint = m_endpoints.at(id);
-        // A start that has not been sent is not sent any more.
-        if (endpoint.runs.at(key).phase != allocation_phase::recording) {
-            remaining[workload::to_string(key.task).substr(
-                spec.id.size() + 1)] = {key.run, id, endpoint.listing.address};
-        }
-    }
-    job.execution->set_remaining_runs(std::move(remaining));
-}
-
-void scheduler::send_settled_records(base::instant now) {
-    for (const auto& [id, record] : m_remaining_runs.take_due(now)) {
-        m_effects.record_progress(id, 0, workload::encode(record), false);
-    }
-}
-
 void scheduler::send_recorded_starts(tracked_job& job, base::instant now) {
     std::vector<unsent_start> ready;
     for (auto it = job.unsent_starts.begin(); it != job.unsent_starts.end();) {
@@ -318,10 +268,7 @@
     }
     if (job->execution->has_ended() &&
         job->recorded_version == job->execution->version()) {
-        const workload::progress& record = job->execution->progress();
-        if (!record.placements.empty()) {
-            m_remaining_runs.add(id, record, job->execution->count_live_runs());
-        }
+        keep_remaining_runs(*job);
         m_jobs.erase(id);
         m_dirty_jobs.erase(id);
     }
--- a/src/cluster/scheduler_limits.cpp
+++ b/src/cluster/scheduler_limits.cpp
@@ -67,16 +67,24 @@
 void scheduler::limit_step(const tracked_job& job, const step_rank& rank,
                            step_execution& step) {
     const workload::job& spec = job.execution->job();
-    const workload::step& limited =
-        spec.steps[static_cast<std::size_t>(rank.step)];
     bool is_admissible = m_usage.is_admissible(
-        spec.workspace, limit_demand(limited, step.waiting_count));
+        spec.workspace,
+        limit_demand(spec.steps[static_cast<std::size_t>(rank.step)],
+                     step.waiting_count));
     m_limited_steps.insert(spec.workspace, rank, is_admissible);
-    if (std::exchange(step.is_limit_reported, true)) {
+    report_limited(job, rank, step, is_admissible);
+}
+
+void scheduler::report_limited(const tracked_job& job, const step_rank& rank,
+                               step_execution& step, bool is_admissible) const {
+    const workload::job& spec = job.execution->job();
+    const workspace::policy* owner = m_workspaces->find(spec.workspace);
+    if (owner == nullptr || step.reported_as_admissible == is_admissible) {
         return;
     }
+    step.reported_as_admissible = is_admissible;
+    base::resources need = spec.steps[static_cast<std::size_t>(rank.step)].need;
     base::resources used = m_usage.running(spec.workspace);
-    base::resources cap = m_workspaces->find(spec.workspace)->cap;
     observe::log_event(
         "step_limited",
         {{"step", workload::to_string(
@@ -84,15 +92,15 @@
          {"workspace", spec.workspace},
          {"why", is_admissible ? "limit in use" : "larger than the limit"},
          {"waiting", std::to_string(step.waiting_count)},
-         {"need_cpu", std::to_string(limited.need.cpu_milli)},
-         {"need_memory_mb", std::to_string(limited.need.memory_mb)},
-         {"need_accelerators", std::to_string(limited.need.accelerators)},
+         {"need_cpu", std::to_string(need.cpu_milli)},
+         {"need_memory_mb", std::to_string(need.memory_mb)},
+         {"need_accelerators", std::to_string(need.accelerators)},
          {"used_cpu", std::to_string(used.cpu_milli)},
          {"used_memory_mb", std::to_string(used.memory_mb)},
          {"used_accelerators", std::to_string(used.accelerators)},
-         {"cap_cpu", std::to_string(cap.cpu_milli)},
-         {"cap_memory_mb", std::to_string(cap.memory_mb)},
-         {"cap_accelerators", std::to_string(cap.accelerators)}});
+         {"cap_cpu", std::to_string(owner->cap.cpu_milli)},
+         {"cap_memory_mb", std::to_string(owner->cap.memory_mb)},
+         {"cap_accelerators", std::to_string(owner->cap.accelerators)}});
 }
 
 void scheduler::resume_limited_steps() {
@@ -124,10 +132,18 @@
             return admitted;
         };
         left.is_admissible = [&](const step_rank& rank) {
-            const step_execution* step = find_step(rank);
-            return step == nullptr ||
-                   m_usage.is_admissible(
-                       owner, limit_demand(spec_of(rank), step->waiting_count));
+            tracked_job* job = find_job(rank.job);
+            step_execution* step =
+                job == nullptr
+                    ? nullptr
+                    : job->execution->find_step(rank.occurrence, rank.step);
+            if (step == nullptr) {
+                return true;
+            }
+            bool is_admissible = m_usage.is_admissible(
+                owner, limit_demand(spec_of(rank), step->waiting_count));
+            report_limited(*job, rank, *step, is_admissible);
+            return is_admissible;
         };
         for (const step_rank& rank : m_limited_steps.release(owner, left)) {
             if (tracked_job* job = find_job(rank.job)) {
--- a/src/workload/progress.cpp
+++ b/src/workload/progress.cpp
@@ -25,6 +25,17 @@
     return static_cast<job_state>(value);
 }
 
+void name_owner(progress& ended, const job& spec) {
+    ended.workspace = spec.workspace;
+    ended.step_needs.clear();
+    if (spec.workspace.empty()) {
+        return;
+    }
+    for (const step& each : spec.steps) {
+        ended.step_needs.push_back(each.need);
+    }
+}
+
 bool is_terminal(job_state value) {
     return value == job_state::completed || value == job_state::failed ||
            value == job_state::cancelled;
