Limits: a gang larger than a lowered limit may use the overage

What callers would have seen: a gang of 4 times 1.4 processors, accepted before its workspace's cap was lowered to 4, would have waited until the cap was raised, though QUOTA allows a start up to "`cap` x (1 + `quotaOverage`) and one task more", 5.8 processors, and LOST asks for it.

Evidence: the new checks of gang_passes_a_lowered_limit_by_one_member_at_most ask for an overage, which the code before doesn't have.

--- a/include/eelgrasslever/cluster/scheduler.hpp
+++ b/include/eelgrasslever/cluster/scheduler.hpp
@@ -46,6 +46,8 @@
     /// fleet is busy, so that urgent work starts at once. It also uses the gaps
     /// that other work leaves, and comes first for all room that is released.
     double urgent_headroom{0.08};
+    /// See `workspace::usage`.
+    double limit_overage{0.0};
 };
 
 /// What a workspace uses, for operators.
--- a/include/eelgrasslever/workspace/usage.hpp
+++ b/include/eelgrasslever/workspace/usage.hpp
@@ -22,10 +22,13 @@
 /// configuration doesn't name, has no limit.
 ///
 /// What never fits within the limit, because that was lowered after the job was
-/// accepted, is admitted while less than half of the limit is in use, if at
-/// most one of its tasks passes the limit.
+/// accepted, is admitted while less than half of the limit is in use, if all of
+/// its tasks but one keep within the limit and the overage.
 class usage {
   public:
+    /// @param overage share of a limit, at least 0.
+    explicit usage(double overage = 0.0) : m_overage(overage) {}
+
     /// Replaces the limits. Work that is already counted stays.
     void set_limits(std::shared_ptr<const directory> limits) {
         m_limits = std::move(limits);
@@ -61,14 +64,15 @@
     [[nodiscard]] const base::resources*
     cap_of(const std::string& workspace) const;
 
+    /// @return whether @p asked may be started beside @p running; a component
+    /// of 0 in @p cap does not limit.
+    [[nodiscard]] bool is_within(const base::resources& cap,
+                                 const base::resources& running,
+                                 const demand& asked) const;
+
+    double m_overage{0.0};
     std::shared_ptr<const directory> m_limits;
     std::map<std::string, base::resources> m_running;
 };
 
-/// @return whether @p asked may be started beside @p running; a component of 0
-/// in @p cap does not limit.
-[[nodiscard]] bool is_within(const base::resources& cap,
-                             const base::resources& running,
-                             const demand& asked);
-
 } // namespace eelgrasslever::workspace
--- a/src/cluster/scheduler.cpp
+++ b/src/cluster/scheduler.cpp
@@ -21,7 +21,8 @@
 
 scheduler::scheduler(scheduler_effects& effects, scheduler_limits limits,
                      scheduler_term term)
-    : m_effects(effects), m_limits(limits), m_term(term), m_wall(term.wall) {}
+    : m_effects(effects), m_limits(limits), m_term(term),
+      m_usage(limits.limit_overage), m_wall(term.wall) {}
 
 void scheduler::tick(base::instant now,
                      std::chrono::sys_time<base::milliseconds> wall,
--- a/src/workspace/usage.cpp
+++ b/src/workspace/usage.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
+/// @param overage amount by which all tasks but one may pass the cap together.
 /// @return whether @p count tasks of @p need may start together.
 bool is_amount_within(std::int64_t cap, std::int64_t running, std::int64_t need,
-                      std::int64_t count) {
+                      std::int64_t count, std::int64_t overage = 0) {
     if (cap <= 0 || need <= 0) {
         return true;
     }
@@ -19,7 +20,7 @@
     }
     bool never_fits = need > cap / count;
     bool is_half_free = running < cap - running;
-    bool only_one_passes = count == 1 || need <= left / (count - 1);
+    bool only_one_passes = count == 1 || need <= (left + overage) / (count - 1);
     return never_fits && is_half_free && only_one_passes;
 }
 
@@ -48,15 +49,18 @@
 
 } // namespace
 
-bool is_within(const base::resources& cap, const base::resources& running,
-               const demand& asked) {
+bool usage::is_within(const base::resources& cap,
+                      const base::resources& running,
+                      const demand& asked) const {
     std::int64_t count = asked.at_once ? std::max(1, asked.count) : 1;
+    base::resources overage = base::scaled(cap, m_overage);
     return is_amount_within(cap.cpu_milli, running.cpu_milli,
-                            asked.need.cpu_milli, count) &&
+                            asked.need.cpu_milli, count, overage.cpu_milli) &&
            is_amount_within(cap.memory_mb, running.memory_mb,
-                            asked.need.memory_mb, count) &&
+                            asked.need.memory_mb, count, overage.memory_mb) &&
            is_amount_within(cap.accelerators, running.accelerators,
-                            asked.need.accelerators, count);
+                            asked.need.accelerators, count,
+                            overage.accelerators);
 }
 
 void usage::add(const std::string& workspace, const base::resources& amount) {
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds order_timeout{800};
 constexpr milliseconds max_lease{6000};
 constexpr milliseconds authority_timeout{6000};
+/// The platform lets a workspace exceed its limit by this share and a task.
+constexpr double limit_overage = 0.1;
 constexpr milliseconds late_order_delay{2000};
 constexpr milliseconds advice_delay{20};
 constexpr std::size_t max_listed_completions = 500;
@@ -324,6 +326,7 @@
     cluster::scheduler_limits limits;
     limits.max_lease = max_lease;
     limits.authority_timeout = authority_timeout;
+    limits.limit_overage = limit_overage;
     m_leader = std::make_unique<cluster::scheduler>(*this, limits, term);
     tell(m_term, [&](auto& leader) {
         leader.set_channels(channels, m_now);
@@ -533,8 +536,6 @@
 void fake_fleet::check_limit(const cluster::start_order& order) {
     // A start that was sent before the limit was lowered may arrive this late.
     constexpr milliseconds lowering_delay{2000};
-    // The platform lets a workspace exceed its limit by a tenth and a task.
-    constexpr std::int64_t allowed_percent = 110;
     const std::string& name = m_jobs.at(order.task.job).entry.job->workspace;
     if (!m_workspaces || m_workspaces->find(name) == nullptr) {
         return;
@@ -553,7 +554,8 @@
                       : std::max(cap, former->cap.*part);
         }
         // The start itself is the one task more.
-        if (cap > 0 && used.*part > cap * allowed_percent / 100) {
+        if (cap > 0 && static_cast<double>(used.*part) >
+                           static_cast<double>(cap) * (1.0 + limit_overage)) {
             add_violation("exceeds the limit of " + name + ": " +
                           workload::to_string(order.task));
         }
--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -168,6 +168,18 @@
     usage.remove("office", cpu(2000));
     usage.add("office", cpu(6000));
     BOOST_TEST(usage.admits_placed("office", {cpu(3000), 2, true}));
+    // Of 4.2 and 1.4, the platform allows 4.4 and one member.
+    BOOST_TEST(!usage.is_admissible("office", {cpu(1400), 4, true}));
+    workspace::usage lenient(0.1);
+    lenient.set_limits(std::make_shared<const directory>(
+        std::vector{make_policy("office", 4000)}));
+    BOOST_TEST(lenient.admits("office", {cpu(1400), 4, true}));
+    BOOST_TEST(!lenient.admits("office", {cpu(1500), 4, true}));
+    BOOST_TEST(lenient.admits("office", {cpu(1000), 4, true}));
+    lenient.add("office", cpu(300));
+    BOOST_TEST(!lenient.admits("office", {cpu(1400), 4, true}));
+    BOOST_TEST(!lenient.admits("office", {cpu(1000), 4, true}));
+    BOOST_TEST(lenient.tasks_allowed("office", cpu(1000), 9) == 3);
     constexpr std::int64_t huge = std::numeric_limits<std::int64_t>::max();
     BOOST_TEST(!usage.admits("office", {cpu(huge), 4096, true}));
 }
