--- a/tests/cluster/lowered_limit_test.cpp
+++ b/tests/cluster/lowered_limit_test.cpp
@@ -60,14 +60,17 @@
         job.steps.push_back(next);
         return job;
     }
-    void submit_small_jobs(int count, std::int64_t cpu_milli,
-                           int priority = 1) {
-        for (int i = 0; i < count; ++i) {
-            workload::job job = make("small" + std::to_string(i), 1, cpu_milli);
-            job.queue.priority = priority;
-            fleet.submit(job);
+    /// Small jobs arrive while a task waits that is larger than the limit.
+    void expect_turn_beside_small_jobs() {
+        fleet.submit(make_second("a", 1, 6000));
+        fleet.run_for(second);
+        set_cap(4000);
+        for (int i = 0; i < 30; ++i) {
+            fleet.submit(make("small" + std::to_string(i), 1, 1000));
             fleet.run_for(base::milliseconds(400));
         }
+        BOOST_TEST(has_completed("a"));
+        BOOST_TEST(fleet.run_until_jobs_end(20 * second));
     }
     bool has_completed(const std::string& id) {
         return fleet.progress_of(id).state == workload::job_state::completed;
@@ -159,12 +162,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(small_jobs_leave_a_larger_task_its_turn) {
-    fleet.submit(make_second("a", 1, 6000));
-    fleet.run_for(second);
-    set_cap(4000);
-    submit_small_jobs(20, 1000);
-    BOOST_TEST(has_completed("a"));
-    BOOST_TEST(fleet.run_until_jobs_end(20 * second));
+    expect_turn_beside_small_jobs();
 }
 
 // The larger task also asks for advice once its turn has come.
@@ -174,12 +172,7 @@
     };
     advice = workload::advice_policy{base::milliseconds(300),
                                      std::chrono::microseconds(0), 2 * second};
-    fleet.submit(make_second("a", 1, 6000));
-    fleet.run_for(second);
-    set_cap(4000);
-    submit_small_jobs(30, 1000);
-    BOOST_TEST(has_completed("a"));
-    BOOST_TEST(fleet.run_until_jobs_end(20 * second));
+    expect_turn_beside_small_jobs();
 }
 
 // No start of the gang keeps the platform's rule, and a job may not be given up
--- a/tests/workspace/workspace_test.cpp
+++ b/tests/workspace/workspace_test.cpp
@@ -106,9 +106,15 @@
     usage.set_limits(std::make_shared<const directory>(make_policies()));
     usage.add("office", cpu(9000));
     BOOST_TEST(usage.admits_placed("office", {cpu(3000)}));
-    usage.set_limits(std::make_shared<const directory>(
-        std::vector{make_policy("office", 5000)}));
-    BOOST_TEST(!usage.admits_placed("office", {cpu(3000)}));
+    for (std::int64_t cap : {9000, 8999, 5000}) {
+        usage.set_limits(std::make_shared<const directory>(
+            std::vector{make_policy("office", cap)}));
+        // A placed task of any size is started only if all fit in the limit.
+        for (std::int64_t need : {1, 3000, 5000}) {
+            BOOST_TEST(usage.admits_placed("office", {cpu(need)}) ==
+                       (cap >= 9000));
+        }
+    }
     BOOST_TEST(usage.tasks_allowed("office", cpu(1), 9) == 0);
     BOOST_TEST(usage.running("office").cpu_milli == 9000);
 }
